Read RESP2 with bounds: a header's promise no longer takes CPU or memory

A peer's line of 13 bytes (*) made hiredis set a list of that many items aside, which each garbage collection then walked for 10 s on half a core. Backends' answers had the same fault.

--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -14,12 +14,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import hiredis
-
 from mintford.interface import BackendState, Outcome
 
 from .clock import Timer, Timers, now_ms
 from .config import Address
+from .resp import NOT_YET, Line, ProtocolError, Reader, Value
 
 log = logging.getLogger(__name__)
 
@@ -27,6 +26,7 @@
 SWEEP_MS = 1_000.0
 CUTOFF_MARGIN_MS = 50.0  # before the end of the grace for new work to a draining backend
 READ_BYTES = 128 * 1024
+MOST_ITEMS, LARGEST_REPLY = 16, 128 * 1024  # of an answer: three, with a value of 64 KiB at most
 
 
 @dataclass(eq=False, slots=True)
@@ -58,7 +58,7 @@
     def __init__(self, pool: Backends, host: Host, attempt: Attempt) -> None:
         self.pool, self.host, self.address = pool, host, host.address
         self.attempt: Attempt | None = attempt
-        self.reader = hiredis.Reader(notEnoughData=Ellipsis)
+        self.reader = Reader(MOST_ITEMS, LARGEST_REPLY)
         self.unsent = memoryview(b"")
         self.up = self.closed = self.writing = False
         self.idle_since = 0.0
@@ -134,10 +134,10 @@
         try:
             reply = self.reader.gets()
             more = self.reader.has_data()
-        except hiredis.ProtocolError:
+        except ProtocolError:
             log.warning("backend %s broke the protocol", self.host.address)
             return self.end(self.broken())
-        if reply is Ellipsis:
+        if reply is NOT_YET:
             return
         attempt, self.attempt = self.attempt, None
         if attempt is None or self.unsent or more:
@@ -180,10 +180,10 @@
         return False  # it has ended, or says something that nobody asked for
 
 
-def read_reply(reply: object) -> tuple[Outcome, bytes]:
+def read_reply(reply: Value) -> tuple[Outcome, bytes]:
     if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
         return Outcome.OK, reply[0]
-    if isinstance(reply, hiredis.ReplyError) and str(reply).split(" ", 1)[0] == "BUSY":
+    if isinstance(reply, Line) and reply.kind == b"-" and reply.text.split(b" ", 1)[0] == b"BUSY":
         return Outcome.FULL, b""
     return Outcome.FAILED, b""
 
--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -9,14 +9,15 @@
 from dataclasses import dataclass
 from typing import Protocol, cast
 
-import hiredis
+from .resp import NOT_YET, ProtocolError, Reader, Value
 
 log = logging.getLogger(__name__)
 
 REQUESTS = {b"API.READ", b"API.WRITE"}
 MOST_WAITING = 32  # commands of one connection that may wait for their answers before it is read no further
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client may leave unread, likewise
-LARGEST = 128 * 1024  # bytes of a command that is not whole yet; values hold 64 KiB at most
+LARGEST = 128 * 1024  # bytes of a command; values hold 64 KiB at most
+MOST_ARGUMENTS = 16  # of a command; a request has five, and those of connection set-up few more
 BACKLOG = 200  # connections that may come at one stroke, within the headroom of descriptors
 HARMLESS = {b"CLIENT", b"SELECT"}  # commands of connection set-up
 
@@ -100,11 +101,10 @@
 class ClientConnection(asyncio.Protocol):
     def __init__(self, server: ClientServer) -> None:
         self.server = server
-        self.reader = hiredis.Reader(notEnoughData=Ellipsis)
+        self.reader = Reader(MOST_ARGUMENTS, LARGEST)
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
         self.slow = self.stopped = self.closing = self.pumping = self.unread = False
-        self.unparsed = 0
 
     # ---- from the event loop ----
 
@@ -134,7 +134,6 @@
     def data_received(self, data: bytes) -> None:
         if self.closing:
             return  # nothing more is answered here, and it must not pile up either
-        self.unparsed += len(data)
         self.reader.feed(data)
         self.unread = True
         self.pump()
@@ -165,14 +164,11 @@
         try:
             while not self._stuck():
                 args = self.reader.gets()
-                if args is Ellipsis:
+                if args is NOT_YET:
                     self.unread = False
-                    if self.unparsed > LARGEST:
-                        raise hiredis.ProtocolError("command too long")
                     return
-                self.unparsed = 0
                 self.command(args)
-        except (hiredis.ProtocolError, MemoryError) as error:
+        except ProtocolError as error:
             self.refuse_protocol(error)
 
     def _write(self) -> None:
@@ -199,8 +195,9 @@
         self.closing = True
         log.warning("client broke the protocol: %s", " ".join(str(error).split()))
 
-    def command(self, args: object) -> None:
-        if not isinstance(args, list) or not args or not all(isinstance(arg, bytes) for arg in args):
+    def command(self, given: Value) -> None:
+        args = [arg for arg in given if isinstance(arg, bytes)] if isinstance(given, list) else []
+        if not args or args != given:
             return self.refuse_protocol(ValueError("not an array of bulk strings"))
         slot = Slot(self)
         self.slots.append(slot)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -68,6 +68,9 @@
         (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", Outcome.FAILED),
         (b"", Outcome.RESET),
         (b"?\r\n", Outcome.RESET),
+        (b"*1000000000\r\n", Outcome.RESET),
+        (b"*3\r\n*1000000000\r\n", Outcome.RESET),
+        (b">1000000000\r\n", Outcome.RESET),
     ],
 )
 def test_what_comes_back_tells_the_outcome(reply: bytes, outcome: Outcome) -> None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -105,6 +105,21 @@
     in_loop(scenario)
 
 
+@pytest.mark.parametrize(
+    "header",
+    [b"*1000000000", b"*2\r\n*1000000000", b">1000000000", b"~1000000000", b"$600000000", b"*2\r\n$131073"],
+)
+def test_a_header_that_promises_too_much_is_refused_as_it_comes(header: bytes) -> None:
+    async def scenario() -> None:
+        async with running(World(Backend())) as world:
+            peer = await world.client()
+            peer.writer.write(header + b"\r\n")
+            assert failed(await peer.receive())
+            assert await peer.receive() is None
+
+    in_loop(scenario)
+
+
 def test_a_broken_protocol_ends_its_own_connection_only() -> None:
     async def scenario() -> None:
         async with running(World(Backend())) as world:
@@ -284,7 +299,7 @@
         connection.data_received(b"?what\r\n")
         for _ in range(100):
             connection.data_received(b"x" * 65536)
-        assert connection.closing and connection.unparsed < 1000
+        assert connection.closing and len(connection.reader.buffer) < 1000
         backend = Backend(script)
         async with running(World(backend)) as world:
             peer = await world.client()
--- /dev/null
+++ b/tests/test_resp.py
@@ -0,0 +1,91 @@
+"""The reader of RESP2, without sockets."""
+
+from __future__ import annotations
+
+import tracemalloc
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from roadpulley.resp import LONGEST_LINE, NOT_YET, Line, ProtocolError, Reader, Value
+
+
+def read(data: bytes, cuts: list[int] | None = None) -> list[Value]:
+    """All values in data that comes in pieces."""
+    reader = Reader(most_items=5, most_bytes=1000)
+    places = sorted({0, len(data), *(cut % (len(data) + 1) for cut in cuts or [])})
+    values: list[Value] = []
+    for start, end in zip(places, places[1:], strict=False):
+        reader.feed(data[start:end])
+        while (value := reader.gets()) is not NOT_YET:
+            values.append(value)
+    assert not reader.has_data()
+    return values
+
+
+def encode(value: Value) -> bytes:
+    if value is None:
+        return b"$-1\r\n"
+    if isinstance(value, Line):
+        return value.kind + value.text + b"\r\n"
+    if isinstance(value, bytes):
+        return b"$%d\r\n%b\r\n" % (len(value), value)
+    return b"*%d\r\n" % len(value) + b"".join(map(encode, value))
+
+
+ITEMS = st.none() | st.binary(max_size=100) | st.just(Line(b"-", b"BUSY 7")) | st.just(Line(b"+", b"OK"))
+VALUES = ITEMS | st.lists(ITEMS, max_size=5)
+
+
+@given(st.lists(VALUES, max_size=6), st.lists(st.integers(0, 10_000), max_size=8))
+def test_values_are_read_whole_however_they_are_cut(values: list[Value], cuts: list[int]) -> None:
+    assert read(b"".join(map(encode, values)), cuts) == values
+
+
+def test_a_value_is_not_given_before_its_last_byte() -> None:
+    reader = Reader(5, 1000)
+    for byte in encode([b"PING", b""])[:-1]:
+        reader.feed(bytes([byte]))
+        assert reader.gets() is NOT_YET and reader.has_data()
+    reader.feed(b"\n")
+    assert reader.gets() == [b"PING", b""] and not reader.has_data()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"*6\r\n",
+        b"*1000000000\r\n",
+        b"*2\r\n*1000000000\r\n",
+        b"*1\r\n*1\r\n",
+        b">1000000000\r\n",
+        b"%1\r\n",
+        b"$1001\r\n",
+        b"*2\r\n$600\r\n" + b"a" * 600 + b"\r\n$600\r\n",
+        b"*-2\r\n",
+        b"$1_0\r\n",
+        b"$+1\r\n",
+        b"$ 1\r\n",
+        b"*\r\n",
+        b"$1\r\nab\r\n",
+        b"GET / HTTP/1.1",
+        b"+" + b"a" * LONGEST_LINE,
+    ],
+)
+def test_what_is_not_taken_is_told_at_once(data: bytes) -> None:
+    reader = Reader(most_items=5, most_bytes=1000)
+    reader.feed(data)
+    with pytest.raises(ProtocolError):
+        reader.gets()
+
+
+def test_nothing_is_set_aside_for_what_has_not_come() -> None:
+    reader = Reader(most_items=1_000_000, most_bytes=1_000_000_000)
+    reader.feed(b"*1000000\r\n$900000000\r\n")
+    tracemalloc.start()
+    try:
+        assert reader.gets() is NOT_YET
+        assert tracemalloc.get_traced_memory()[1] < 10_000
+    finally:
+        tracemalloc.stop()
