--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -30,7 +30,21 @@
 CLOSING_S = 0.1
 
 
-async def serve(config: Config, stop: asyncio.Event, ready: Callable[[int], None] | None = None) -> None:
+async def follow(changes: asyncio.Queue[Config], discovery: Discovery, counter: Counter | None) -> None:
+    """Take over what may change while a gateway runs: the addresses of discovery and of the counter."""
+    while True:
+        config = await changes.get()
+        discovery.move(config.discovery)
+        if counter is not None and config.counter is not None:
+            counter.move(config.counter)
+
+
+async def serve(
+    config: Config,
+    stop: asyncio.Event,
+    ready: Callable[[int], None] | None = None,
+    changes: asyncio.Queue[Config] | None = None,
+) -> None:
     """Serve until `stop` is set, then drain. `ready` is told the port once clients may come."""
     loop = asyncio.get_running_loop()
     timers = Timers(loop)
@@ -52,6 +66,7 @@
         driver.members(ListScope.SAVED, known.members)
     discovery = Discovery(config.discovery, version, driver.members)
     watch = loop.create_task(discovery.run())
+    following = loop.create_task(follow(changes or asyncio.Queue(), discovery, counter))
     server = ClientServer(driver, int(config.sockets * CLIENT_SHARE))
     port = await server.listen(*config.listen)
     gc.collect()
@@ -77,16 +92,27 @@
         driver.fail_all()
         await asyncio.sleep(CLOSING_S)
     watch.cancel()
+    following.cancel()
     backends.close()
     if counter is not None:
         counter.close()
 
 
-async def run(config: Config) -> None:
-    stop = asyncio.Event()
+async def run(path: str) -> None:
+    config = load_config(path)
+    stop, changes = asyncio.Event(), asyncio.Queue[Config]()
+
+    def reload() -> None:
+        try:
+            changes.put_nowait(load_config(path))
+        except ConfigError as error:
+            log.warning("the changed configuration is not taken: %s", error)  # the old one still holds
+
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, reload)
     for signum in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(signum, stop.set)
-    await serve(config, stop)
+        loop.add_signal_handler(signum, stop.set)
+    await serve(config, stop, changes=changes)
 
 
 def main() -> int:
@@ -98,7 +124,7 @@
         print("roadpulley: LB_CONFIG is not set", file=sys.stderr)
         return 2
     try:
-        uvloop.run(run(load_config(path)))
+        uvloop.run(run(path))
     except (ConfigError, DiscoveryError) as error:
         print(f"roadpulley: bad configuration: {error}", file=sys.stderr)
         return 2
--- a/roadpulley/counter.py
+++ b/roadpulley/counter.py
@@ -140,16 +140,26 @@
             connection.write(calls)
 
     async def connect(self) -> None:
-        host, port = self.counter.address
+        address = self.counter.address
         try:
             async with asyncio.timeout(self.counter.wait / 1000):
-                _, self.connection = await self.counter.loop.create_connection(CounterConnection, host, port)
+                _, made = await self.counter.loop.create_connection(CounterConnection, *address)
+            if address == self.counter.address:
+                self.connection = made
+            else:
+                made.drop()  # the counter moved meanwhile
         except OSError:  # time-outs are among these
             self.fail(Outcome.CONNECT)
         finally:
             self.connecting = None
         self.flush()
 
+    def leave(self) -> None:
+        """Open a new connection for the next call; the old one stays a while for the answers it owes."""
+        if self.connection is not None:
+            self.counter.loop.call_later(SILENT_MS / 1000, self.connection.drop)
+            self.connection = None
+
     def fail(self, outcome: Outcome) -> None:
         """End the calls that were never written: nothing was added."""
         calls, self.waiting = self.waiting, []
@@ -172,6 +182,13 @@
         lane.add(call)
         call.timer = self.timers.at(now_ms() + self.wait, partial(self.expire, lane, call))
 
+    def move(self, address: Address) -> None:
+        if address != self.address:
+            log.info("counter moves to %s:%d", *address)
+            self.address = address
+            for lane in self.lanes:
+                lane.leave()
+
     def expire(self, lane: Lane, call: Call) -> None:
         written = call not in lane.waiting
         call.end(Outcome.TIMED_OUT if written else Outcome.CONNECT)
--- a/roadpulley/discovery.py
+++ b/roadpulley/discovery.py
@@ -75,6 +75,15 @@
 
     def __init__(self, address: Address, version: int | None, listener: Listener) -> None:
         self.address, self.version, self.listener = address, version, listener
+        self.writer: asyncio.StreamWriter | None = None  # of the watch that is open
+
+    def move(self, address: Address) -> None:
+        """Follow the list at another address, from the version it has."""
+        if address != self.address:
+            log.info("discovery moves to %s:%d", *address)
+            self.address = address
+            if self.writer is not None:
+                self.writer.close()  # ends the watch; the next one goes to the new address
 
     async def run(self) -> None:
         wait = BACKOFF_S[0]
@@ -118,7 +127,10 @@
         host, port = self.address
         async with asyncio.timeout(CONNECT_S):
             reader, writer = await asyncio.open_connection(host, port)
+        self.writer = writer
         try:
+            if (host, port) != self.address:
+                return  # it moved meanwhile
             http = h11.Connection(h11.CLIENT)
             headers = [("Host", f"{host}:{port}"), ("Accept", "application/json")]
             writer.write(http.send(h11.Request(method="GET", target=target, headers=headers)) or b"")
@@ -145,3 +157,4 @@
                     return
         finally:
             writer.close()
+            self.writer = None
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -167,3 +167,51 @@
         assert fired == ["kept"] and not timers._heap
 
     in_loop(scenario)
+
+
+def test_sighup_moves_discovery_and_the_counter_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    """The platform may move both; the old addresses close what is open soon after."""
+
+    async def scenario() -> None:
+        old, new = World(Backend()), World(Backend())
+        servers = [w for world in (old, new) for w in (world.backends[0], world.counter, world.discovery)]
+        for server in servers:
+            await server.start()
+        with socket.create_server((LOCAL, 0)) as free:
+            port = free.getsockname()[1]
+        config = tmp_path / "config.json"
+        begin = {**old.config(), "listen": f"{LOCAL}:{port}"}
+        config.write_text(json.dumps(begin))
+        process = await start(config)
+        try:
+            peer = await connect(port)
+            assert await old.ask(peer, plan=b"basic") == b"value"
+            await until(lambda: old.discovery.watches and old.counter.got)
+            config.write_text("{")
+            process.send_signal(signal.SIGHUP)
+            peer.send(b"PING")
+            assert await peer.receive() == b"PONG"
+            moved = {name: new.config()[name] for name in ("discovery", "counter")}
+            config.write_text(json.dumps({**begin, **moved}))
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: new.discovery.watches)
+            assert new.discovery.requests == ["/catalog/members?stream=1&index=41"]
+            new.discovery.change(42, {**new.hosts()[0], "host": "h9"}, whole=True)
+            number = 0
+            while not new.backends[0].got:  # until the change is taken
+                number += 1
+                assert await old.ask(peer, id=b"%d" % number) == b"value"
+            asked = len(old.counter.got)
+            await until(lambda: not old.discovery.open)
+            while not new.counter.got:  # a refresh may be some requests away
+                number += 1
+                await old.ask(peer, id=b"%d" % number, plan=b"basic")
+            assert len(old.counter.got) == asked and process.returncode is None
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+            for server in servers:
+                await server.stop()
+
+    in_loop(scenario)
