End peers that send no whole command in time, and bound the log

It now gets an error and a close within the 3 s it is owed; a client that never reads or is done is let go too.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -14,6 +14,7 @@
 
 from mintford.interface import ListScope
 
+from . import logs
 from .backends import Backends
 from .clients import ClientServer
 from .clock import Timers
@@ -91,6 +92,7 @@
         log.warning("%d requests open at the end", len(driver.requests))
         driver.fail_all()
         await asyncio.sleep(CLOSING_S)
+    server.close()
     watch.cancel()
     following.cancel()
     backends.close()
@@ -116,9 +118,7 @@
 
 
 def main() -> int:
-    logging.basicConfig(
-        level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
-    )
+    logs.start()
     path = os.environ.get("LB_CONFIG")
     if not path:
         print("roadpulley: LB_CONFIG is not set", file=sys.stderr)
--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import time
 from collections import deque
 from dataclasses import dataclass
 from typing import Protocol, cast
@@ -20,6 +21,10 @@
 MOST_ARGUMENTS = 16  # of a command; a request has five, and those of connection set-up few more
 BACKLOG = 200  # connections that may come at one stroke, within the headroom of descriptors
 HARMLESS = {b"CLIENT", b"SELECT"}  # commands of connection set-up
+SWEEP_S = 0.25
+OWED_S = 2.25  # for a first or a begun command to come whole: well within the 3 s that a peer is owed
+UNREAD_S = 15.0  # that a client may leave its answers unread: nobody waits that long for one
+UNUSED_S = 60.0  # a connection of no use for this long is closed; clients open another when they need one
 
 
 @dataclass(slots=True)
@@ -105,6 +110,9 @@
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
         self.slow = self.stopped = self.closing = self.pumping = self.unread = False
+        self.used_at = time.monotonic()  # a command came or an answer was written
+        self.owes_since: float | None = self.used_at  # the peer: its first command, or the rest of one
+        self.slow_since = 0.0
 
     # ---- from the event loop ----
 
@@ -124,7 +132,7 @@
 
     def pause_writing(self) -> None:
         # A client that asks and does not read would make us hold all of its answers.
-        self.slow = True
+        self.slow, self.slow_since = True, time.monotonic()
         self._throttle()
 
     def resume_writing(self) -> None:
@@ -166,7 +174,10 @@
                 args = self.reader.gets()
                 if args is NOT_YET:
                     self.unread = False
+                    if self.owes_since is None and self.reader.has_data():
+                        self.owes_since = time.monotonic()
                     return
+                self.owes_since, self.used_at = None, time.monotonic()
                 self.command(args)
         except ProtocolError as error:
             self.refuse_protocol(error)
@@ -178,6 +189,7 @@
             due.append(self.slots.popleft().reply or b"")
         if due and self.transport is not None:
             self.transport.write(due[0] if len(due) == 1 else b"".join(due))
+            self.used_at = time.monotonic()
             self.server.used(self)
 
     def _throttle(self) -> None:
@@ -195,6 +207,22 @@
         self.closing = True
         log.warning("client broke the protocol: %s", " ".join(str(error).split()))
 
+    def check(self, now: float) -> None:
+        """End what a peer has left hanging, so that it holds neither memory nor a descriptor for ever."""
+        if self.transport is None:
+            return
+        if self.slow:
+            if now - self.slow_since > UNREAD_S:
+                log.warning("client left its answers unread for %.0f s", now - self.slow_since)
+                self.transport.abort()
+        elif self.closing or self.stopped:
+            return  # its answers are due first, and it is read no further until then
+        elif self.owes_since is not None and now - self.owes_since > OWED_S:
+            self.refuse_protocol(ValueError("no whole command in time"))
+            self.pump()
+        elif not self.slots and now - self.used_at > UNUSED_S:
+            self.transport.close()
+
     def command(self, given: Value) -> None:
         args = [arg for arg in given if isinstance(arg, bytes)] if isinstance(given, list) else []
         if not args or args != given:
@@ -232,6 +260,7 @@
         self.connections: dict[ClientConnection, None] = {}  # the longest unused first
         self.draining = False
         self.listener: asyncio.Server | None = None
+        self.sweeping: asyncio.TimerHandle | None = None
         self.empty = asyncio.Event()
         self.empty.set()
 
@@ -241,8 +270,19 @@
         self.listener = await loop.create_server(
             lambda: ClientConnection(self), host, port, backlog=BACKLOG, reuse_address=True
         )
+        self.sweep()
         return int(self.listener.sockets[0].getsockname()[1])
 
+    def sweep(self) -> None:
+        now = time.monotonic()
+        for connection in list(self.connections):
+            connection.check(now)
+        self.sweeping = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
+
+    def close(self) -> None:
+        if self.sweeping is not None:
+            self.sweeping.cancel()
+
     def opened(self, connection: ClientConnection) -> None:
         self.connections[connection] = None
         self.empty.clear()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -310,3 +310,76 @@
             assert failed(await peer.receive())
 
     in_loop(scenario)
+
+
+def test_a_peer_that_sends_no_whole_command_is_ended_and_no_other(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Anyone may connect; who says nothing, or stops half-way, would hold a descriptor for ever."""
+    monkeypatch.setattr(clients, "SWEEP_S", 0.005)
+
+    async def scenario() -> None:
+        go_on = asyncio.Event()
+
+        async def script(command: list[bytes]) -> Reply:
+            await go_on.wait()
+            return array(b"value")
+
+        async with running(World(Backend(script))) as world:
+            waiting, used = await world.client(), await world.client()
+            waiting.send(*request())
+            await until(lambda: world.backends[0].got)
+            used.send(b"PING")
+            assert await used.receive() == b"PONG"
+            monkeypatch.setattr(clients, "OWED_S", 0.02)
+            silent, stalled = await world.client(), await world.client()
+            stalled.writer.write(encode(*request())[:-1])
+            for peer in (silent, stalled):
+                assert failed(await peer.receive())
+                assert await peer.receive() is None
+            used.send(b"PING")
+            assert await used.receive() == b"PONG"
+            used.writer.write(b"*1")  # an older connection that stops in a command owes the rest just so
+            assert failed(await used.receive())
+            go_on.set()
+            assert await waiting.receive() == b"value"
+
+    in_loop(scenario)
+
+
+class Wire(asyncio.Transport):
+    """A transport without a socket, which remembers how it was ended."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ended = ""
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None: ...
+
+    def write(self, data: bytes | bytearray | memoryview) -> None: ...
+
+    def pause_reading(self) -> None: ...
+
+    def is_closing(self) -> bool:
+        return bool(self.ended)
+
+    def abort(self) -> None:
+        self.ended = "abort"
+
+    def close(self) -> None:
+        self.ended = "close"
+
+
+def test_a_client_that_never_reads_and_one_that_is_done_are_let_go() -> None:
+    async def scenario() -> None:
+        server = clients.ClientServer(None, 10)  # type: ignore[arg-type]
+        for slow, limit, ending in ((True, clients.UNREAD_S, "abort"), (False, clients.UNUSED_S, "close")):
+            connection, wire = clients.ClientConnection(server), Wire()
+            connection.connection_made(wire)
+            connection.data_received(encode(b"PING"))
+            if slow:
+                connection.pause_writing()
+            connection.check(max(connection.used_at, connection.slow_since) + limit - 1)
+            assert wire.ended == ""
+            connection.check(max(connection.used_at, connection.slow_since) + limit + 1)
+            assert wire.ended == ending
+
+    in_loop(scenario)
