--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import re
 import time
 from collections import deque
 from dataclasses import dataclass
@@ -14,7 +15,10 @@
 
 log = logging.getLogger(__name__)
 
-REQUESTS = {b"API.READ", b"API.WRITE"}
+SAFE = b"API.READ"
+REQUESTS = {SAFE, b"API.WRITE"}
+CUSTOMER, MOST_CUSTOMERS = re.compile(rb"[0-9a-fA-F]{16}"), 2**33
+LONGEST_ID = 64
 MOST_WAITING = 32  # commands of one connection that may wait for their answers before it is read no further
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client may leave unread, likewise
 LARGEST = 128 * 1024  # bytes of a command; values hold 64 KiB at most
@@ -38,6 +42,7 @@
     length: int  # arguments in all
     id: str
     customer: str
+    safe: bool  # whether it came as a request that is safe to repeat
     attributes: dict[bytes, bytes]
     wait: float  # how long the client waits, in milliseconds
 
@@ -75,9 +80,11 @@
     head = bulk(verb) + bulk(customer) + bulk(request)
     body = b"".join(bulk(arg) for arg in args[4:])
     names = request.decode("ascii"), customer.decode("ascii")
-    if not all(names):
-        raise ValueError("id or customer missing")
-    return Command(head, before, after, body, len(args), *names, attributes, wait)
+    if not (request.isalnum() and len(request) <= LONGEST_ID):
+        raise ValueError("malformed id")
+    if not (CUSTOMER.fullmatch(customer) and int(customer, 16) < MOST_CUSTOMERS):
+        raise ValueError("malformed customer")
+    return Command(head, before, after, body, len(args), *names, verb.upper() == SAFE, attributes, wait)
 
 
 class Slot:
@@ -98,7 +105,8 @@
 
 
 class Handler(Protocol):
-    def on_command(self, command: Command, slot: Slot) -> None: ...
+    def on_command(self, command: Command, slot: Slot) -> None:
+        """Raises ValueError, with the reason, for what the settings know nothing of."""
 
     def on_client_gone(self, request: str) -> None: ...
 
@@ -233,10 +241,11 @@
         if verb in REQUESTS:
             try:
                 command = parse_command(args)
+                slot.request = command.id
+                self.server.handler.on_command(command, slot)
             except ValueError as error:
-                return slot.answer(b"-ERR %b\r\n" % " ".join(str(error).split()).encode())
-            slot.request = command.id
-            self.server.handler.on_command(command, slot)
+                slot.request = None
+                self.refuse_command(slot, " ".join(str(error).split()))
         elif verb == b"PING":
             slot.answer(bulk(args[1]) if len(args) > 1 else b"+PONG\r\n")
         elif verb in HARMLESS:
@@ -245,7 +254,13 @@
             slot.answer(b"+OK\r\n")
             self.closing = True
         else:
-            slot.answer(b"-ERR unknown command\r\n")
+            self.refuse_command(slot, "unknown command")
+
+    def refuse_command(self, slot: Slot, reason: str) -> None:
+        """Answer what is no proper request; who sends nothing better is not kept connected."""
+        log.warning("client sent what is no request: %s", reason)
+        self.owes_since = time.monotonic()
+        slot.answer(b"-ERR %b\r\n" % reason.encode())
 
     @property
     def idle(self) -> bool:
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -19,6 +19,7 @@
 log = logging.getLogger(__name__)
 
 FAILED = b"-ERR failed\r\n"
+LONGEST_WAIT_MS = 60_000.0  # that a client can ask for; the longest deadlines are well under it
 
 
 class Request:
@@ -51,6 +52,8 @@
     ) -> None:
         self.gateway, self.settings = Gateway(settings, seed), settings
         self.timers, self.backends, self.counter, self.max_open = timers, backends, counter, max_open
+        self.kinds = {kind.name: kind for kind in settings.classes}
+        self.plans = {plan.name for plan in settings.plans}
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also those of requests that have ended
         self.events: deque[api.Event] = deque()
@@ -92,31 +95,44 @@
 
     def on_command(self, command: Command, slot: Slot) -> None:
         if command.id in self.requests:
-            slot.request = None  # the other one's
-            return slot.answer(b"-ERR id in use\r\n")
+            raise ValueError("id in use")
+        event = self.read(command)
         if len(self.requests) >= self.max_open:
             return slot.answer(b"-BUSY\r\n")
-        given = command.attributes
-        try:
-            event = api.RequestArrived(
-                request=command.id,
-                request_class=given[b"c"].decode(),
-                plan=given.get(b"t", b"").decode(),
-                customer=command.customer,
-                expires=now_ms() + command.wait,
-                units=float(given.get(b"units", b"0")),
-                spread=int(given.get(b"spread", b"1")),
-                first=int(given.get(b"first", b"0")),
-                repeat=given.get(b"r") == b"1",
-            )
-            if not math.isfinite(event.units):
-                raise ValueError("units")
-        except ValueError:
-            return slot.answer(b"-ERR malformed attributes\r\n")
         owner = self.requests[command.id] = Request(command, slot, event.expires)
         owner.timer = self.timers.at(owner.expires, partial(self.on_expired, owner))
         self.give(event)
 
+    def read(self, command: Command) -> api.RequestArrived:
+        """A request that the settings know the class and the plan of; a backend may run nothing else.
+
+        Passed on, a made-up class fails at each backend and marks healthy ones as failing, and a made-up plan
+        has no quota to keep.
+        """
+        given = command.attributes
+        event = api.RequestArrived(
+            request=command.id,
+            request_class=given[b"c"].decode(),
+            plan=given.get(b"t", b"").decode(),
+            customer=command.customer,
+            expires=now_ms() + min(command.wait, LONGEST_WAIT_MS),
+            units=float(given.get(b"units", b"0")),
+            spread=int(given.get(b"spread", b"1")),
+            first=int(given.get(b"first", b"0")),
+            repeat=given.get(b"r") == b"1",
+        )
+        kind = self.kinds.get(event.request_class)
+        if kind is None or event.plan not in self.plans:
+            raise ValueError("unknown class or plan")
+        if command.safe is not (kind.effect is api.Effect.SAFE):
+            raise ValueError("wrong command for the class")
+        if kind.effect is api.Effect.KEYED and not given.get(b"k"):
+            raise ValueError("idempotency key missing")
+        gateways = self.settings.gateways
+        if not (0 < event.units < math.inf and 1 <= event.spread <= gateways and 0 <= event.first < gateways):
+            raise ValueError("malformed units or gateways")
+        return event
+
     def on_expired(self, owner: Request) -> None:
         """The client's patience ends: so do the attempts, and the module owes the final answer."""
         request = owner.command.id
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -88,6 +88,19 @@
         (b"API.READ", b"a", b"b", b"c=view,d=3,units=x"),
         (b"API.READ", b"\xff", b"b", b"c=view,d=3"),
         (b"API.READ", b"a", b"", b"c=view,d=3"),
+        *(
+            (verb, customer, b"b1", listed)
+            for verb, customer, listed in (
+                (b"API.READ", b"00000000b4d65521", b"c=views,t=free,d=3000,units=1,spread=1,first=0"),
+                (b"API.READ", b"00000000b4d65521", b"c=view,t=freest,d=3000,units=1,spread=1,first=0"),
+                (b"API.READ", b"164362ecdc2ee1ee", b"c=view,t=free,d=3000,units=1,spread=1,first=0"),
+                (b"API.READ", b"b4d65521", b"c=view,t=free,d=3000,units=1,spread=1,first=0"),
+                (b"API.READ", b"00000000b4d65521", b"c=view,t=free,d=3000,units=-1,spread=1,first=0"),
+                (b"API.READ", b"00000000b4d65521", b"c=view,t=free,d=3000,units=1,spread=9,first=0"),
+                (b"API.READ", b"00000000b4d65521", b"c=wipe,t=free,d=3000,units=1,spread=1,first=0"),
+                (b"API.READ", b"00000000b4d65521", b"c=view,t=free,d=3000"),
+            )
+        ),
         (b"HELLO", b"3"),
         (b"",),
     ],
@@ -337,6 +350,10 @@
                 assert await peer.receive() is None
             used.send(b"PING")
             assert await used.receive() == b"PONG"
+            wrong = await world.client()
+            wrong.send(b"API.READ", b"a", b"b", b"nonsense")  # an answer, but no leave to stay
+            assert failed(await wrong.receive()) and failed(await wrong.receive())
+            assert await wrong.receive() is None
             used.writer.write(b"*1")  # an older connection that stops in a command owes the rest just so
             assert failed(await used.receive())
             go_on.set()
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -38,7 +38,8 @@
         loop = asyncio.get_running_loop()
         timers = Timers(loop)
         self.backends = Backends(loop, timers, 250, 15_000, 1_000, 10)
-        self.driver = Driver(settings(max_attempts=2), 1, timers, self.backends, None, max_open)
+        given = settings(max_attempts=2, plans=(api.Plan("free"),))
+        self.driver = Driver(given, 1, timers, self.backends, None, max_open)
         self.module = Module()
         self.driver.gateway = self.module  # type: ignore[assignment]
         self.connection = ClientConnection(ClientServer(self.driver, 10))
