--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -134,8 +134,8 @@
         try:
             reply = self.reader.gets()
             more = self.reader.has_data()
-        except ProtocolError:
-            log.warning("backend %s broke the protocol", self.host.address)
+        except ProtocolError as error:
+            log.warning("backend broke the protocol: %s: %s", self.host.address, error)
             return self.end(self.broken())
         if reply is NOT_YET:
             return
--- a/roadpulley/config.py
+++ b/roadpulley/config.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +12,7 @@
 from mintford.wirehost import read_settings
 
 Address = tuple[str, int]
+HIGHEST_PORT = 65_535
 
 
 class ConfigError(Exception):
@@ -33,10 +35,11 @@
 
 
 def parse_address(text: str) -> Address:
+    """A numeric address: a name would have to be looked up, and there is no DNS."""
     host, colon, port = str(text).rpartition(":")
-    if not colon or not port.isdigit():
+    if not colon or not (port.isascii() and port.isdigit()) or int(port) > HIGHEST_PORT:
         raise ValueError(f"not an address: {text!r}")
-    return host, int(port)
+    return str(IPv4Address(host)), int(port)
 
 
 def parse_config(raw: dict[str, Any]) -> Config:
--- a/roadpulley/counter.py
+++ b/roadpulley/counter.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import zlib
 from collections import deque
 from collections.abc import Callable
@@ -72,7 +73,11 @@
             if not self.owed:
                 return self.drop("an answer to nothing")
             # A late answer belongs to its own call, which has ended, and is not the next one's.
-            self.owed.popleft().end(*read_answer(line))
+            outcome, total = read_answer(line)
+            self.owed.popleft().end(outcome, total)
+            if outcome is Outcome.TIMED_OUT:
+                # Where it ends is not known, so what follows could be taken for another call's answer.
+                return self.drop(f"it said {line[:80]!r}")
         if len(self.rest) > LONGEST_LINE:
             self.drop("an endless line")
 
@@ -94,12 +99,13 @@
     words = line.split()
     if len(words) == 2 and words[0] == b"ok":
         try:
-            return Outcome.OK, float(words[1])
+            total = float(words[1])
         except ValueError:
-            pass
+            total = math.nan
+        if math.isfinite(total):
+            return Outcome.OK, total
     elif words in ([b"busy"], [b"error"]):
         return Outcome.FULL, 0.0
-    log.warning("counter said %r", line[:80])
     return Outcome.TIMED_OUT, 0.0  # whether it was added is not known
 
 
--- a/roadpulley/discovery.py
+++ b/roadpulley/discovery.py
@@ -6,6 +6,7 @@
 import hashlib
 import json
 import logging
+import math
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -22,7 +23,7 @@
 SILENT_S = 4.5  # an empty line comes every 2 s
 CONNECT_S = 1.0
 BACKOFF_S = (0.1, 1.0)  # the first wait before a new watch, and the longest
-LONGEST_LINE = 16 * 1024 * 1024
+LONGEST_LINE = 1024 * 1024  # bytes: a list of thousands of backends, yet little beside any memory limit
 STATES = {"up": BackendState.READY, "draining": BackendState.DRAINING, "removed": BackendState.GONE}
 
 
@@ -52,11 +53,14 @@
 
 
 def read_member(raw: dict[str, Any]) -> Member:
+    started = float(raw.get("born_ms") or 0)
+    if not math.isfinite(started):
+        raise ValueError("born_ms")
     entry = BackendEntry(
         backend=host_number(raw["host"]),
         zone=str(raw.get("site") or ""),
         cell=int(raw.get("block") or 0),
-        started=float(raw.get("born_ms") or 0),
+        started=started,
         state=STATES[raw["health"]],
     )
     return Member(entry, parse_address(raw["dial"]))
@@ -66,7 +70,7 @@
     try:
         members = tuple(read_member(host) for host in raw.get("hosts") or ())
         return MemberList(int(raw["seq"]), bool(raw.get("whole")), members)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise DiscoveryError(f"{type(error).__name__}: {error}") from error
 
 
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -147,6 +147,8 @@
         (b"error", (Outcome.FULL, 0.0)),
         (b"ok", (Outcome.TIMED_OUT, 0.0)),
         (b"ok x", (Outcome.TIMED_OUT, 0.0)),
+        (b"ok nan", (Outcome.TIMED_OUT, 0.0)),
+        (b"ok -inf", (Outcome.TIMED_OUT, 0.0)),
         (b"what", (Outcome.TIMED_OUT, 0.0)),
     ],
 )
@@ -180,3 +182,23 @@
             assert await peer.receive() == b"value"
 
     in_loop(scenario)
+
+
+def test_after_an_answer_without_a_number_the_connection_is_left() -> None:
+    """Where such an answer ends is not known, so what follows could be another call's."""
+
+    async def scenario() -> None:
+        answers = [b"ok {}\r\n", b"ok 7\r\n"]
+
+        async def script(words: list[bytes]) -> Reply:
+            return answers.pop(0)
+
+        service = Service(script)
+        async with calling(service) as calls:
+            calls.add()
+            assert await calls.ended(1) == [("n", Outcome.TIMED_OUT, 0.0)]
+            calls.add()
+            assert (await calls.ended(2))[1:] == [("n", Outcome.OK, 7.0)]
+            assert service.accepted == 2
+
+    in_loop(scenario)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -134,6 +134,10 @@
         {"seq": 1, "hosts": [{"host": "h", "dial": "nowhere", "health": "up"}]},
         {"seq": 1, "hosts": [{"host": "h", "dial": "127.0.0.1:1", "health": "odd"}]},
         {"seq": 1, "hosts": [3]},
+        {"seq": float("inf")},
+        {"seq": 1, "hosts": [{"host": "h", "dial": "127.0.0.1:70000", "health": "up"}]},
+        {"seq": 1, "hosts": [{"host": "h", "dial": "node.example:1", "health": "up"}]},
+        {"seq": 1, "hosts": [{"host": "h", "dial": "127.0.0.1:1", "health": "up", "born_ms": float("nan")}]},
     ],
 )
 def test_a_malformed_list_is_named(raw: Any) -> None:
