Settle a request's units by what the answer tells, here and on the counter

A quota counts the true units (BRIEF 5.5); answers carry them (cost=..., settled on the wire) and nothing read them.

--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -140,6 +140,7 @@
     outcome: Outcome
     lag: float
     finished: bool
+    settled: float = 0.0  # the true units, told with a request's first good answer; 0: not told
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -19,6 +19,7 @@
 REFRESH_MS = 500.0  # between refreshes at least: shares follow a shift, calls stay under requests
 SPARSE = 1.5  # of the largest requests: an even part of the burst under this is too thin to spend locally
 WANTS_MS = 3_000.0  # memory of the wants
+LEAST_SAID = 0.01  # units: an amount of 0 only reads
 FRESH_MS, SURGE = 100.0, 5.0  # a sparse reading stands until so many quotas at once could spend what is left
 ROOM_STEP, ROOM_CUT, ROOM_LEAST = 0.005, 0.9, 0.1  # how refreshes thin out as calls fail, and come back
 END_MS = 50.0  # a request is ended this long before it expires; small beside any aim
@@ -53,6 +54,7 @@
         self.full_again = plan.burst / max(plan.rate, 1e-9) * 1000  # the time in which an empty burst fills
         self.part, self.chance = self.even, 1.0  # the lease: of quota and burst; of the requests, if sparse
         self.store = plan.burst  # what all gateways have left, by the last reading and own sends since
+        self.spent = 0.0  # sent on here since that reading
         self.lease_end, self.fresh_until, self.heard = now + LEASE_MS, now, False  # heard: the last refresh
         self.unsaid, self.mine, self.all = 0.0, 0.0, 0.0  # units not yet added; lately added, here and by all
         self.period, self.reading, self.read_at = -2, 0.0, now  # the last reading
@@ -86,7 +88,7 @@
     def __init__(self, event: api.RequestArrived, kind: api.RequestClass, c: Customer, now: float) -> None:
         self.id, self.kind, self.customer, self.units = event.request, kind, c, event.units
         self.expires, self.aim_at = event.expires, min(event.expires, now + kind.aim)
-        self.attempts, self.check_at = 0, math.inf
+        self.attempts, self.check_at, self.settled = 0, math.inf, False
         self.marks = "all", "class " + kind.name, "plan " + c.plan.name  # of a backend that this one bears on
         self.live: set[int] = set()  # numbers of the attempts out
         self.tried: set[int] = set()
@@ -154,7 +156,8 @@
         c.unsaid += request.units
         if now < c.fresh_until or not self.settings.may_count or not c.plan.rate:
             return False
-        said, c.unsaid = c.unsaid / self.counter_room, 0.0
+        said = max(LEAST_SAID, c.unsaid)  # units given back may outweigh those asked
+        c.unsaid, said = c.unsaid - said, said / self.counter_room
         if self.random.random() > self.counter_room:
             return False  # crowded: those that do add, add for this one too, so that totals stay true
         c.fresh_until = now + (FRESH_MS if c.sparse else REFRESH_MS)
@@ -163,6 +166,13 @@
             self.watch(now, request, now + 2 * self.settings.count_wait, out)
         return c.sparse
 
+    def settle(self, c: Customer, more: float) -> None:
+        """A quota counts the true units, which the answer tells: the guess is put right here and by all."""
+        c.unsaid += more
+        c.spent += more
+        c.store -= more
+        c.tokens -= more
+
     def count(self, c: Customer, period: int, amount: float, out: api.Actions, request: str) -> None:
         name = f"{period}:" + hashlib.blake2b(c.key.encode(), digest_size=16).hexdigest()  # keys may be long
         self.calls.setdefault(name, deque()).append((c.key, period, round(amount, 3), request))
@@ -206,6 +216,7 @@
         before, same, last = c.reading, period == c.period, c.period == period - 1
         fade, window = math.exp((c.read_at - now) / WANTS_MS), (now - c.read_at) / 1000
         c.period, c.reading, c.read_at = period, total, now
+        spent, c.spent = c.spent, 0.0
         if same and total < before - 0.01:
             # Danger: the counter lost its numbers; it would look as if nobody had asked for anything.
             return False
@@ -216,9 +227,9 @@
         c.part = 1 - (1 - min(1.0, c.mine / c.all)) * load if c.all else c.even
         c.fresh_until = now + (FRESH_MS if c.sparse else REFRESH_MS)
         if same:
-            return self.share_out(now, c, others, amount, max(c.store, rate * window), 0.0)
+            return self.share_out(now, c, others, amount, max(c.store, rate * window - spent), 0.0)
         since = max(0.0, now - period * PERIOD_MS) / 1000  # its beginning
-        brought = max(c.store, rate * window) if last else rate * since
+        brought = max(c.store, rate * window - spent) if last else rate * since
         c.begun = others, amount, brought, before if last else -1.0
         self.count(c, period - 1, 0.0, out, held)
         return True
@@ -234,7 +245,7 @@
         """
         c.chance, c.heard = 1.0, True
         if others <= brought:
-            c.store = min(c.plan.burst, max(0.0, brought - others))
+            c.store = min(c.plan.burst, brought - others)
         elif others <= self.settings.most_units:
             c.store -= others if others <= c.store else 0.0
         else:
@@ -284,7 +295,7 @@
             wait = short * 1000 / max(plan.rate * c.part, 1e-9) if short > 0 else kind.aim * PATIENCE
             return self.finish(request, out, wait)
         c.tokens, c.ceiling = c.tokens - (units if 0 < units <= c.tokens else 0.0), c.ceiling - units
-        c.store = max(0.0, c.store - units)
+        c.store, c.spent = c.store - units, c.spent + units
         self.send(now, request, backend, out)
 
     def time_to_answer(self, now: float) -> float:
@@ -420,6 +431,9 @@
         self.judge(now, attempt, event.outcome)
         if never_ran:
             request.ran.remove(attempt)
+        if event.settled > 0 and not request.settled:
+            request.settled = True
+            self.settle(request.customer, event.settled - request.units)
         if event.request not in self.requests:
             return
         if event.finished or event.outcome is api.Outcome.OK:
--- a/mintford/wirehost.py
+++ b/mintford/wirehost.py
@@ -106,10 +106,16 @@
 
 
 def read_ended(
-    request: str, _settled: Any, lag: Any, outcome: str, finished: Any, attempt: int, backend: int, *_: Any
+    request: str, settled: Any, lag: Any, outcome: str, finished: Any, attempt: int, backend: int, *_: Any
 ) -> api.Event:
     return api.AttemptEnded(
-        text(request), int(attempt), int(backend), api.Outcome(outcome), float(lag or 0), bool(finished)
+        text(request),
+        int(attempt),
+        int(backend),
+        api.Outcome(outcome),
+        float(lag or 0),
+        bool(finished),
+        float(settled or 0),
     )
 
 
--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -45,6 +45,7 @@
     ended: Callable[[Attempt, Outcome, bytes], None]
     connection: Connection | None = None
     timer: Timer | None = None  # of its time-out
+    cost: float = 0.0  # the true units, as the answer tells them; 0: not told
     over: bool = False
 
     def end(self, outcome: Outcome, value: bytes = b"") -> None:
@@ -153,6 +154,7 @@
         else:
             self.pool.release(self)
         if attempt is not None:
+            attempt.cost = read_cost(reply)
             attempt.end(*read_reply(reply))
 
     def broken(self) -> Outcome:
@@ -202,6 +204,20 @@
     return Outcome.FAILED, b""
 
 
+def read_cost(reply: Value) -> float:
+    """The true units that an answer's figures on use tell; 0 where they don't."""
+    if isinstance(reply, list) and len(reply) > 1 and isinstance(reply[1], bytes):
+        for item in reply[1].split(b","):
+            name, _, value = item.partition(b"=")
+            if name == b"cost":
+                try:
+                    cost = float(value)
+                except ValueError:
+                    return 0.0
+                return cost if 0 < cost < math.inf else 0.0
+    return 0.0
+
+
 class IdleTimes:
     """Learns how long a connection may stand idle before a request on it is reset at once.
 
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -169,7 +169,8 @@
         if finished:
             self.settle(owner)
         lag = now_ms() - sent_at
-        self.give(api.AttemptEnded(request, number, attempt.backend, outcome, lag, finished))
+        cost = attempt.cost if outcome is api.Outcome.OK else 0.0
+        self.give(api.AttemptEnded(request, number, attempt.backend, outcome, lag, finished, cost))
 
     def on_counted(self, name: str, outcome: api.Outcome, reading: float) -> None:
         self.give(api.CounterReplied(name, outcome, reading))
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -91,6 +91,30 @@
     in_loop(scenario)
 
 
+@pytest.mark.parametrize(
+    ("figures", "cost"),
+    [
+        (b"$16\r\nused=37,cost=4.5\r\n", 4.5),
+        (b"$7\r\nused=37\r\n", 0.0),
+        (b"$-1\r\n", 0.0),
+        (b"$8\r\ncost=nan\r\n", 0.0),
+        (b"$7\r\ncost=-2\r\n", 0.0),
+        (b"$6\r\ncost=x\r\n", 0.0),
+    ],
+)
+def test_the_true_units_are_read_from_the_figures_on_use(figures: bytes, cost: float) -> None:
+    async def script(command: list[bytes]) -> Reply:
+        return b"*3\r\n$5\r\nvalue\r\n" + figures + b"$-1\r\n"
+
+    async def scenario() -> None:
+        async with pool(Backend(script)) as made:
+            tried = Try(made)
+            assert (await tried.result())[0] is Outcome.OK
+            assert tried.attempt.cost == cost
+
+    in_loop(scenario)
+
+
 def test_a_refused_connection_never_ran() -> None:
     async def scenario() -> None:
         server = Backend()
