--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -206,6 +206,7 @@
 
     request: str
     retry_after: float = 0.0
+    reason: str = ""  # for the log
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -293,7 +293,8 @@
         backend = None if beyond or too_late else self.pick(now, request)
         if backend is None:
             wait = short * 1000 / max(plan.rate * c.part, 1e-9) if short > 0 else kind.aim * PATIENCE
-            return self.finish(request, out, wait)
+            short_of = "quota" if short > 0 or crowded else "ceiling" if over_ceiling else "time"
+            return self.finish(request, out, wait, short_of if beyond or too_late else "backends")
         c.tokens, c.ceiling = c.tokens - (units if 0 < units <= c.tokens else 0.0), c.ceiling - units
         c.store, c.spent = c.store - units, c.spent + units
         self.send(now, request, backend, out)
@@ -474,12 +475,12 @@
 
     # ---- rule guards ----
 
-    def finish(self, request: Request, out: api.Actions, wait: float = 0.0) -> None:
+    def finish(self, request: Request, out: api.Actions, wait: float = 0.0, reason: str = "attempts") -> None:
         """The one final answer: a refusal only where a new try is known to do no harm, else a failure."""
         del self.requests[request.id]
         keyed_by_all = request.kind.effect is api.Effect.KEYED and request.kind.group is api.Group.ALL
         harmless = not request.ran or request.kind.effect is api.Effect.SAFE or keyed_by_all
-        refusal = api.Refuse(request.id, min(wait, self.settings.max_retry_after))
+        refusal = api.Refuse(request.id, min(wait, self.settings.max_retry_after), reason)
         out.append(refusal if harmless else api.Fail(request.id))
         self.cancel_all(request, out)
 
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections import Counter as Counts
 from collections import deque
 from functools import partial
 
@@ -19,6 +20,7 @@
 log = logging.getLogger(__name__)
 
 FAILED = b"-ERR failed\r\n"
+REPORT_MS = 10_000.0  # one line for all requests of that time
 LONGEST_WAIT_MS = 60_000.0  # that a client can ask for; the longest deadlines are well under it
 
 
@@ -58,6 +60,16 @@
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also those of requests that have ended
         self.events: deque[api.Event] = deque()
         self.busy = False
+        self.seen: Counts[str] = Counts()  # since the last report: what came, and what became of it
+        self.timers.at(now_ms() + REPORT_MS, self.report)
+
+    def report(self) -> None:
+        """Tell what became of the requests, the attempts and the calls to the counter, and why."""
+        if self.seen:
+            told = ", ".join(f"{what} {number}" for what, number in sorted(self.seen.items()))
+            log.info("last %d s: %s", REPORT_MS / 1000, told)
+            self.seen.clear()
+        self.timers.at(now_ms() + REPORT_MS, self.report)
 
     # ---- events ----
 
@@ -99,6 +111,7 @@
         event = self.read(command)
         if len(self.requests) >= self.max_open:
             return slot.answer(b"-BUSY\r\n")
+        self.seen["requests taken"] += 1
         owner = self.requests[command.id] = Request(command, slot, event.expires)
         owner.timer = self.timers.at(owner.expires, partial(self.on_expired, owner))
         self.give(event)
@@ -162,6 +175,7 @@
         value: bytes,
     ) -> None:
         request = owner.command.id
+        self.seen["attempts " + outcome.value] += 1
         del self.attempts[request, number], owner.live[number]
         if outcome is api.Outcome.OK:
             self.finish(request, bulk(value))
@@ -173,6 +187,7 @@
         self.give(api.AttemptEnded(request, number, attempt.backend, outcome, lag, finished, cost))
 
     def on_counted(self, name: str, outcome: api.Outcome, reading: float) -> None:
+        self.seen["counter " + outcome.value] += 1
         self.give(api.CounterReplied(name, outcome, reading))
 
     # ---- actions ----
@@ -184,10 +199,12 @@
             case api.Cancel(request, number):
                 if attempt := self.attempts.get((request, number)):
                     self.backends.give_up(attempt, api.Outcome.CANCELLED)
-            case api.Refuse(request, retry_after):
+            case api.Refuse(request, retry_after, reason):
+                self.seen["refused for " + reason] += 1
                 wait = math.ceil(retry_after)
                 self.finish(request, b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n")
             case api.Fail(request):
+                self.seen["failed"] += 1
                 self.finish(request, FAILED)
             case api.SetTimer(delay, token):
                 self.timers.at(now_ms() + delay, partial(self.give, api.TimerFired(token)))
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -133,3 +133,16 @@
         assert scene.module.of(api.CounterReplied) == [api.CounterReplied("n", api.Outcome.CONNECT, 0.0)]
 
     in_loop(scenario)
+
+
+def test_a_report_tells_what_became_of_the_requests(caplog: pytest.LogCaptureFixture) -> None:
+    async def scenario() -> None:
+        scene = Scene()
+        scene.module.answers[api.RequestArrived] = [api.Refuse("r1", 30.0, "quota")]
+        scene.ask()
+        with caplog.at_level("INFO"):
+            scene.driver.report()
+            scene.driver.report()  # nothing came since
+        assert [r.getMessage() for r in caplog.records] == ["last 10 s: refused for quota 1, requests taken 1"]
+
+    in_loop(scenario)
