--- a/roadpulley/counter.py
+++ b/roadpulley/counter.py
@@ -15,6 +15,7 @@
 
 from .clock import Timer, Timers, now_ms
 from .config import Address
+from .idle import AT_ONCE_MS, IdleTimes
 
 log = logging.getLogger(__name__)
 
@@ -47,12 +48,13 @@
 class CounterConnection(asyncio.Protocol):
     """Calls written one behind another; the oldest unanswered one gets the next answer, however late."""
 
-    def __init__(self) -> None:
+    def __init__(self, idle_times: IdleTimes) -> None:
         self.transport: asyncio.Transport | None = None
         self.owed: deque[Call] = deque()
         self.rest = b""
         self.closed = False
         self.heard_at = self.used_at = now_ms()
+        self.idle_times, self.idle_for = idle_times, 0.0  # idle_for: before the calls that are owed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
@@ -61,13 +63,22 @@
         assert self.transport is not None
         now = now_ms()
         if not self.owed:
-            self.heard_at = now
+            self.idle_for, self.heard_at = self.idle(now), now
         self.used_at = now
         self.owed.extend(calls)
         self.transport.write(b"".join(call.line for call in calls))
 
+    def idle(self, now: float) -> float:
+        return now - max(self.used_at, self.heard_at)
+
+    def _note(self, reset: bool) -> None:
+        if self.idle_for:
+            self.idle_times.note(self.idle_for, reset)
+            self.idle_for = 0.0
+
     def data_received(self, data: bytes) -> None:
         self.heard_at = now_ms()
+        self._note(reset=False)
         *lines, self.rest = (self.rest + data).split(b"\n")
         for line in lines:
             if not self.owed:
@@ -89,6 +100,8 @@
             self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
+        if self.owed and not self.closed:
+            self._note(reset=now_ms() - self.used_at < AT_ONCE_MS)
         self.closed = True
         owed, self.owed = self.owed, deque()
         for call in owed:
@@ -134,7 +147,7 @@
         if connection is not None and not connection.closed:
             # The counter's machine may have vanished: such a connection stays open and silent for ever.
             lost = bool(connection.owed) and now - connection.heard_at > SILENT_MS
-            if lost or (not connection.owed and now - connection.used_at > RETIRE_MS):
+            if lost or not (connection.owed or self.counter.idle_times.allows(now, connection.idle(now))):
                 connection.drop("silent" if lost else "")
         if connection is None or connection.closed:
             if self.connecting is None:
@@ -149,7 +162,8 @@
         address = self.counter.address
         try:
             async with asyncio.timeout(self.counter.wait / 1000):
-                _, made = await self.counter.loop.create_connection(CounterConnection, *address)
+                make = partial(CounterConnection, self.counter.idle_times)
+                _, made = await self.counter.loop.create_connection(make, *address)
             if address == self.counter.address:
                 self.connection = made
             else:
@@ -178,6 +192,7 @@
         self, loop: asyncio.AbstractEventLoop, timers: Timers, address: Address, wait: float
     ) -> None:
         self.loop, self.timers, self.address, self.wait = loop, timers, address, wait
+        self.idle_times = IdleTimes(RETIRE_MS)
         self.lanes = [Lane(self) for _ in range(CONNECTIONS)]
 
     def add(self, name: str, amount: float, expire_in: float, done: Done) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -12,8 +12,9 @@
 
 from mintford.interface import BackendState, Outcome
 from roadpulley import backends as module
-from roadpulley.backends import MEMORY_MS, Attempt, Backends, IdleTimes
+from roadpulley.backends import Attempt, Backends
 from roadpulley.clock import Timers, now_ms
+from roadpulley.idle import MEMORY_MS, IdleTimes
 
 SERVED = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -202,3 +202,34 @@
             assert service.accepted == 2
 
     in_loop(scenario)
+
+
+def test_a_connection_that_stood_idle_too_long_is_not_used_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Dropped unsaid while idle, it would be reset under the next call, which may then have been added."""
+    monkeypatch.setattr(module, "AT_ONCE_MS", 10_000.0)  # a test machine may be slow
+
+    class Dropping(Service):
+        """Resets a call of 2 on a connection that has had another call before."""
+
+        async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            fresh = True
+            while line := await reader.readline():
+                if not fresh and b" 2.0" in line:
+                    return writer.transport.abort()
+                fresh = False
+                writer.write(b"ok 5\r\n")
+
+    async def scenario() -> None:
+        async with calling(Dropping()) as calls:
+            for number in range(20):
+                calls.add(amount=1.0)
+                await calls.ended(2 * number + 1)
+                connection = next(lane.connection for lane in calls.counter.lanes if lane.connection)
+                connection.used_at -= 500  # as if it had stood for so long
+                connection.heard_at -= 500
+                calls.add(amount=2.0)
+                await calls.ended(2 * number + 2)
+            lost = [ending for ending in calls.endings if ending[1] is not Outcome.OK]
+            assert 3 <= len(lost) < 10
+
+    in_loop(scenario)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -143,6 +143,7 @@
         with caplog.at_level("INFO"):
             scene.driver.report()
             scene.driver.report()  # nothing came since
-        assert [r.getMessage() for r in caplog.records] == ["last 10 s: refused for quota 1, requests taken 1"]
+        (line,) = caplog.records
+        assert line.getMessage() == "last 10 s: refused for quota 1, requests taken 1"
 
     in_loop(scenario)
