--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -156,10 +156,10 @@
         c.unsaid += request.units
         if now < c.fresh_until or not self.settings.may_count or not c.plan.rate:
             return False
-        said = max(LEAST_SAID, c.unsaid)  # units given back may outweigh those asked
-        c.unsaid, said = c.unsaid - said, said / self.counter_room
         if self.random.random() > self.counter_room:
-            return False  # crowded: those that do add, add for this one too, so that totals stay true
+            return False  # crowded: the next refresh adds this one's units too
+        said = max(LEAST_SAID, c.unsaid)  # units given back may outweigh those asked
+        c.unsaid -= said
         c.fresh_until = now + (FRESH_MS if c.sparse else REFRESH_MS)
         self.count(c, int(now // PERIOD_MS), said, out, request.id if c.sparse else "")
         if c.sparse:
