Let refreshes recover from lost calls in tens of answers, not hundreds

At one call in ten lost on the way, thinning settled at 0.45 of the refreshes, and after an outage it took 180 answers to end.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -21,7 +21,8 @@
 WANTS_MS = 3_000.0  # memory of the wants
 LEAST_SAID = 0.01  # units: an amount of 0 only reads
 FRESH_MS, SURGE = 100.0, 5.0  # a sparse reading stands until so many quotas at once could spend what is left
-ROOM_STEP, ROOM_CUT, ROOM_LEAST = 0.005, 0.9, 0.1  # how refreshes thin out as calls fail, and come back
+# How refreshes thin out as calls fail, and come back: a few calls in a hundred lost on the way thin nothing.
+ROOM_STEP, ROOM_CUT, ROOM_LEAST = 0.02, 0.9, 0.1
 END_MS = 50.0  # a request is ended this long before it expires; small beside any aim
 TYPICAL_OVER = 40.0  # answers that the typical latency is the mean of
 RECENT, SLOW, BAD = 0.12, 0.15, 0.3  # weight of one answer in the recent latency and a backend's two marks
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -319,3 +319,24 @@
     calls(world, api.Outcome.OK)
     calls(world, api.Outcome.OK)
     assert calls(world, api.Outcome.OK) >= well * 0.8
+
+
+def test_a_few_lost_calls_thin_nothing_and_an_outage_is_soon_over() -> None:
+    """Danger: thinned for good, each reading is old and the quotas are passed."""
+    world = World()
+
+    def reply(outcome: api.Outcome) -> None:
+        world.pass_time(500)
+        for call in counts(world.ask()):
+            answer(world, call, 2.0, outcome)
+
+    for number in range(400):  # one in ten lost
+        reply(api.Outcome.TIMED_OUT if number % 10 == 9 else api.Outcome.OK)
+    assert world.gateway.counter_room > 0.85
+    for _ in range(200):
+        reply(api.Outcome.TIMED_OUT)
+    assert world.gateway.counter_room < 0.2
+    before = world.gateway.counter_room
+    for _ in range(300):  # one in ten of them makes a call at first
+        reply(api.Outcome.OK)
+    assert before < 0.2 and world.gateway.counter_room == 1
