--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -302,8 +302,10 @@
         self.connections[connection] = None
         self.empty.clear()
         if len(self.connections) > self.most:
-            # Out of descriptors nothing works any more, so give up a connection that nobody is using.
-            spare = next((c for c in self.connections if c.idle), connection)
+            # Out of descriptors nothing works any more, so give up a connection that nobody is using: first
+            # one that has yet to send a proper request, as a flood of those must not cost clients theirs.
+            idle = [c for c in self.connections if c.idle and c is not connection]
+            spare = next((c for c in idle if c.owes_since is not None), idle[0] if idle else connection)
             if spare.transport is not None:
                 spare.transport.close()
         elif self.draining and connection.transport is not None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -258,6 +258,19 @@
     in_loop(scenario)
 
 
+def test_at_the_bound_a_peer_that_has_said_nothing_goes_before_a_client() -> None:
+    async def scenario() -> None:
+        async with running(World(Backend(), sockets=6)) as world:
+            client = await world.client()
+            assert await world.ask(client) == b"value"
+            silent = [await world.client() for _ in range(3)]
+            assert await silent[0].receive() is None
+            assert await world.ask(client) == b"value"
+            assert await world.ask(silent[2]) == b"value"
+
+    in_loop(scenario)
+
+
 def test_set_up_commands_of_client_libraries() -> None:
     async def scenario() -> None:
         async with running(World(Backend())) as world:
