--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -278,7 +278,7 @@
         """Send the request on if the lease, the guards and the backends let it, else refuse it."""
         c, kind, plan, units = request.customer, request.kind, request.customer.plan, request.units
         short = units - c.tokens if plan.rate else 0.0
-        if c.sparse and c.heard and plan.rate:  # what all have left; past the quota, a fraction of all wants
+        if by_store := c.sparse and c.heard and plan.rate > 0:  # past the quota, a fraction of all wants
             lucky = c.chance < 1 and self.random.random() < c.chance
             short = 0.0 if lucky else units - c.store if c.chance == 1 else units
         crowded = bool(plan.open_limit) and c.out + 1 > max(1.0, plan.open_limit * c.part)
@@ -293,7 +293,8 @@
         too_late = strain > SHED_AT * (1 - SHED_SPAN * lesser) + band or now + expected > request.aim_at
         backend = None if beyond or too_late else self.pick(now, request)
         if backend is None:
-            wait = short * 1000 / max(plan.rate * c.part, 1e-9) if short > 0 else kind.aim * PATIENCE
+            pace = plan.rate * (1.0 if by_store else c.part)  # all of the rate fills what all share
+            wait = short * 1000 / max(pace, 1e-9) if short > 0 else kind.aim * PATIENCE
             short_of = "quota" if short > 0 or crowded else "ceiling" if over_ceiling else "time"
             return self.finish(request, out, wait, short_of if beyond or too_late else "backends")
         c.tokens, c.ceiling = c.tokens - (units if 0 < units <= c.tokens else 0.0), c.ceiling - units
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -173,6 +173,15 @@
     assert call.amount > 0 and -4.1 < world.gateway.customers["c"].unsaid < -4.0
 
 
+def test_a_customer_is_told_when_the_shared_store_holds_its_units() -> None:
+    world, numbers = World(max_retry_after=60_000.0), dict[str, float]()
+    while not (refused := refusals(actions := play(world, numbers))):
+        for send in sends(actions):
+            world.end(send)
+    (missing,) = (1 - c.store for c in world.gateway.customers.values())
+    assert abs(refused[0].retry_after - missing / 2 * 1000) < 1  # at the whole rate of two a second
+
+
 def test_refused_wants_leave_no_debt() -> None:
     """Danger: refused wants that count as spent keep a customer out long after its store is full again."""
     world, numbers = World(), dict[str, float]()
