--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -15,7 +15,7 @@
 from . import interface as api
 
 LEASE_MS = 15_000.0  # the design's lease
-PERIOD_MS = 15_000.0  # of a number on the counter; its last reading must outlive a burst's refill
+PERIOD_MS = 15_000.0  # of a number on the counter: long, as each new one costs a call more
 REFRESH_MS = 500.0  # between refreshes at least: shares follow a shift, calls stay under requests
 SPARSE = 1.5  # of the largest requests: an even part of the burst under this is too thin to spend locally
 WANTS_MS = 3_000.0  # memory of the wants
@@ -52,7 +52,6 @@
         self.ceiling = (now - since) / 1000 * plan.ceiling_rate * self.even
         self.keep_ms = max(LEASE_MS, plan.ceiling_burst / max(plan.ceiling_rate, 1e-9) * 1000)
         self.sparse = plan.burst * self.even < SPARSE * unit
-        self.full_again = plan.burst / max(plan.rate, 1e-9) * 1000  # the time in which an empty burst fills
         self.part, self.chance = self.even, 1.0  # the lease: of quota and burst; of the requests, if sparse
         self.store = plan.burst  # what all gateways have left, by the last reading and own sends since
         self.spent = 0.0  # sent on here since that reading
--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 import re
 import time
 from collections import deque
@@ -19,6 +18,9 @@
 REQUESTS = {SAFE, b"API.WRITE"}
 CUSTOMER, MOST_CUSTOMERS = re.compile(rb"[0-9a-fA-F]{16}"), 2**33
 LONGEST_ID = 64
+# Python reads more as a number (1_0, +2, nan) than a backend does, which gets these as they came.
+DECIMAL, WHOLE = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?"), re.compile(rb"[0-9]{1,6}")
+NUMBERS = {b"d": DECIMAL, b"units": DECIMAL, b"spread": WHOLE, b"first": WHOLE}
 MOST_WAITING = 32  # commands of one connection that may wait for their answers before it is read no further
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client may leave unread, likewise
 LARGEST = 128 * 1024  # bytes of a command; values hold 64 KiB at most
@@ -74,8 +76,10 @@
             after = b"".join(b"," + other for other in items[place + 1 :])
     if before is None or after is None or b"c" not in attributes:
         raise ValueError("class or time left missing")
+    if any(not NUMBERS[name].fullmatch(value) for name, value in attributes.items() if name in NUMBERS):
+        raise ValueError("malformed number")
     wait = float(attributes[b"d"])
-    if not (math.isfinite(wait) and wait > 0):
+    if wait <= 0:
         raise ValueError("no time left")
     head = bulk(verb) + bulk(customer) + bulk(request)
     body = b"".join(bulk(arg) for arg in args[4:])
@@ -185,7 +189,7 @@
                     if self.owes_since is None and self.reader.has_data():
                         self.owes_since = time.monotonic()
                     return
-                self.owes_since, self.used_at = None, time.monotonic()
+                self.used_at = time.monotonic()
                 self.command(args)
         except ProtocolError as error:
             self.refuse_protocol(error)
@@ -238,6 +242,7 @@
         slot = Slot(self)
         self.slots.append(slot)
         verb = args[0].upper()
+        owed, self.owes_since = self.owes_since, None
         if verb in REQUESTS:
             try:
                 command = parse_command(args)
@@ -245,7 +250,7 @@
                 self.server.handler.on_command(command, slot)
             except ValueError as error:
                 slot.request = None
-                self.refuse_command(slot, " ".join(str(error).split()))
+                self.refuse_command(slot, " ".join(str(error).split()), owed)
         elif verb == b"PING":
             slot.answer(bulk(args[1]) if len(args) > 1 else b"+PONG\r\n")
         elif verb in HARMLESS:
@@ -254,12 +259,12 @@
             slot.answer(b"+OK\r\n")
             self.closing = True
         else:
-            self.refuse_command(slot, "unknown command")
+            self.refuse_command(slot, "unknown command", owed)
 
-    def refuse_command(self, slot: Slot, reason: str) -> None:
-        """Answer what is no proper request; who sends nothing better is not kept connected."""
+    def refuse_command(self, slot: Slot, reason: str, owed: float | None) -> None:
+        """Answer what is no proper request; who sends nothing better since `owed` is not kept connected."""
         log.warning("client sent what is no request: %s", reason)
-        self.owes_since = time.monotonic()
+        self.owes_since = time.monotonic() if owed is None else owed
         slot.answer(b"-ERR %b\r\n" % reason.encode())
 
     @property
--- a/roadpulley/discovery.py
+++ b/roadpulley/discovery.py
@@ -161,4 +161,5 @@
                     return
         finally:
             writer.close()
-            self.writer = None
+            if self.writer is writer:  # a watch that ended in a fault may be closed after the next began
+                self.writer = None
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -142,7 +142,7 @@
         if kind.effect is api.Effect.KEYED and not given.get(b"k"):
             raise ValueError("idempotency key missing")
         gateways = self.settings.gateways
-        if not (0 < event.units < math.inf and 1 <= event.spread <= gateways and 0 <= event.first < gateways):
+        if not (event.units > 0 and 1 <= event.spread <= gateways and 0 <= event.first < gateways):
             raise ValueError("malformed units or gateways")
         return event
 
