Give cold backends what they can do of all, as warm ones drowned where most are cold

Ruled out by the logs: full backends (0), refused connections (0), quotas (130 a second throughout). At fault: Gateway.pick gave a cold backend warmth * min(1, 3 * warmth) of an even part whatever the rest could do: of 24 warm and 36 at 0.19 the warm ones got 93%.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -504,9 +504,9 @@
         """A backend by chance, cheap ones far more often; a cold one only by the cold rule's own lot.
 
         Danger: sent more than it can do by all gateways together, a cold backend falls over. Each gateway
-        gives it an even part of its own requests times the least it can do, so that the sum over all gateways
-        stays under that part of a warm one's load; less while it can do little, as one long request is much
-        of it. Given less than this, a release of all backends leaves much of what they can do unused.
+        gives it of its own requests what it surely can do of what all can, so that the sum over all gateways
+        loads it as it loads a warm one; at most half of what pushes over one that the usual load reaches.
+        Given less than this, the warm ones drown in a release of many while the cold ones idle.
         """
         may = [b for b in self.subset if self.may_go(now, request, b)]
         may = may or [b for b in self.backends.values() if self.usable(b) and self.may_go(now, request, b)]
@@ -515,7 +515,8 @@
             if owed := [b for b in may if b.owed_at <= now and b.warmth(now) < 1]:
                 return owed[0]
             b = self.random.choice(may)
-            part = b.warmth(now) * min(1.0, b.warmth(now) * self.settings.rules.fall_multiple)
+            lift = len(may) / sum(other.warmth(now) for other in may)  # where many are cold, each takes more
+            part = b.warmth(now) * min(lift, max(1.0, self.settings.rules.fall_multiple / 2))
             if b.warmth(now) < 1 and self.random.random() < part and self.failing(now, b, request) < 0.5:
                 return b
         costs = [self.cost(now, b, request) * self.random.expovariate(1.0) ** CHANCE for b in warm]
