Give each gateway a slice of the backends by hash, as 40 gateways met each of 60 too seldom

At fault: choose_subset with COVER 24 gave all 60 backends to each of 40 gateways, and re-sliced an order on a change. Ruled out: full connection tables (no refused connects outside restarts), the processes' own time (0.2 of 0.48 of a core in the busiest second). Now a round of gateways shares the backends out by hash: even cover, and a change moves but its own backend.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -32,7 +32,7 @@
 ERROR_COST = 8.0  # how much failing always raises a backend's cost: clearly behind any healthy peer
 CHANCE = 0.25  # how far chance spreads the choice: half the cost is chosen sixteen times as often
 EJECTED = 0.5  # a mark of failing from which on a backend counts as avoided: five times the cost
-SUBSET, COVER = 8, 24  # backends that a gateway of a large fleet uses; gateways that each backend needs
+SUBSET, COVER = 8, 10  # backends that a gateway of a large fleet uses; gateways that each backend needs
 RETRY_SHARE, RETRY_CALM, RETRY_STORE = 0.15, 0.6, 10.0  # extra attempts earned a request; when calm; the most
 PATIENCE = 0.4  # of the aim: how long to wait before anything is known
 LONGEST, SHORTEST = 5.0, 2.0  # typical latencies: the most a sample counts for; a bad backend's patience
@@ -122,6 +122,11 @@
         self.began = False  # its long answer is being passed on
 
 
+def slice_of(turn: int, backend: int, slices: int) -> int:
+    digest = hashlib.blake2b(f"{turn}:{backend}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") % slices
+
+
 def read_numbers(given: Any) -> list[float]:
     numbers = [float(number) for number in given]
     if not all(map(math.isfinite, numbers)):
@@ -470,13 +475,16 @@
     def choose_subset(self, ready: list[Backend]) -> list[Backend]:
         """Few enough backends to meet each often and judge it; all of them in a small fleet.
 
-        Each gateway of a round takes its own slice of one shuffled order: all backends are covered evenly.
+        A round of gateways shares the backends out by hash, so each is covered once a round whatever the list
+        holds, and a change moves no backend but its own. Where chance or a drain leaves a slice short, its
+        gateway takes wider ones.
         """
-        size = max(SUBSET, math.ceil(COVER * len(ready) / max(1, self.settings.gateways)))
-        turn, place = divmod(self.settings.index, max(1, len(ready) // size))
-        if len(ready) >= 2 * size:
-            ready.sort(key=lambda b: hashlib.blake2b(f"{turn}:{b.id}".encode(), digest_size=8).digest())
-        return ready[place * size : (place + 1) * size] if len(ready) >= 2 * size else ready
+        for slices in range(min(self.settings.gateways // COVER, len(ready) // SUBSET), 1, -1):
+            turn, place = divmod(self.settings.index, slices)
+            mine = [b for b in ready if slice_of(turn, b.id, slices) == place]
+            if len(mine) >= SUBSET / 2:
+                return mine
+        return ready
 
     def mark(self, now: float, b: Backend, name: str) -> float:
         """A mark as far as it has not faded; a backend that is met seldom is remembered longer."""
