Spread the asks for the list over the fleet, as 40 at once left discovery no time for any

At fault: discovery.BACKOFF_S without jitter, up to 1 s for each gateway alone, and a first ask at each start. Now the asks of a fleet come at 4 a second in all, the first one too, where the list has to be asked for; a small fleet asks at once as before.

--- a/roadpulley/discovery.py
+++ b/roadpulley/discovery.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import math
+import random
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -23,6 +24,10 @@
 SILENT_S = 4.5  # an empty line comes every 2 s
 CONNECT_S = 1.0
 BACKOFF_S = (0.1, 1.0)  # the first wait before a new watch, and the longest
+SPREAD = 0.5  # of a wait, either way
+# A list that has to be asked for comes from one service of a fixed pace for all gateways. Danger: a fleet that
+# asks at once, or again in step, fills its line with asks that were given up, and nobody is told anything.
+ASKS_AT_ONCE, ASKS_PER_S = 4, 4.0  # of the whole fleet
 LONGEST_LINE = 1024 * 1024  # bytes: a list of thousands of backends, yet little beside any memory limit
 STATES = {"up": BackendState.READY, "draining": BackendState.DRAINING, "removed": BackendState.GONE}
 
@@ -47,6 +52,11 @@
 Listener = Callable[[ListScope, tuple[Member, ...]], None]
 
 
+def asks_apart(gateways: int) -> float:
+    """Seconds that the asks of all gateways are spread over: none in a small fleet."""
+    return max(0, gateways - ASKS_AT_ONCE) / ASKS_PER_S
+
+
 def host_number(host: str) -> int:
     """A number for a host's name: the same at every gateway and after every start."""
     return int.from_bytes(hashlib.blake2b(host.encode(), digest_size=8).digest(), "big")
@@ -77,8 +87,18 @@
 class Discovery:
     """Follows the list from a version on and reports each change."""
 
-    def __init__(self, address: Address, version: int | None, listener: Listener) -> None:
-        self.address, self.version, self.listener = address, version, listener
+    def __init__(
+        self,
+        address: Address,
+        version: int | None,
+        listener: Listener,
+        chance: random.Random,
+        apart: float = 0.0,
+    ) -> None:
+        self.address, self.version, self.listener, self.chance = address, version, listener, chance
+        self.apart = apart  # seconds that the fleet's asks are spread over; 0: an ask costs nobody anything
+        self.wait = BACKOFF_S[0]
+        self.first_wait = chance.uniform(0, apart) if version is not None else 0.0
         self.writer: asyncio.StreamWriter | None = None  # of the watch that is open
         self.heard = asyncio.Event()  # it has told something
 
@@ -91,7 +111,7 @@
                 self.writer.close()  # ends the watch; the next one goes to the new address
 
     async def run(self) -> None:
-        wait = BACKOFF_S[0]
+        await asyncio.sleep(self.first_wait)
         while True:
             heard = False
             try:
@@ -106,9 +126,14 @@
                 # Without a watch the list goes stale and drains are missed, so it goes on whatever came.
                 log.exception("a change could not be taken")
                 reason, self.version = "failed", None
-            wait = BACKOFF_S[0] if heard else min(BACKOFF_S[1], wait * 2)
-            log.info("watch %s; again in %.1f s", reason, wait)
-            await asyncio.sleep(wait)
+            pause = self.pause(heard)
+            log.info("watch %s; again in %.1f s", reason, pause)
+            await asyncio.sleep(pause)
+
+    def pause(self, heard: bool) -> float:
+        """Seconds until the next watch, after one that told something or did not."""
+        self.wait = BACKOFF_S[0] if heard else min(BACKOFF_S[1], self.wait * 2)
+        return max(self.wait, self.apart) * self.chance.uniform(1 - SPREAD, 1 + SPREAD)
 
     def _target(self) -> str:
         # With no version known, the whole list comes first.
@@ -151,6 +176,7 @@
                 elif isinstance(event, h11.Response):
                     if event.status_code != 200:
                         raise DiscoveryError(f"status {event.status_code}")
+                    log.info("watch open from %s on", self.version)
                 elif isinstance(event, h11.Data):
                     *lines, rest = (rest + event.data).split(b"\n")
                     for line in lines:
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import logging
+import random
 from functools import partial
 from typing import Any
 
@@ -18,7 +19,7 @@
 from .clock import Timers
 from .config import Config
 from .counter import Counter
-from .discovery import Discovery, read_list
+from .discovery import Discovery, asks_apart, read_list
 from .driver import Driver
 from .figures import Figures
 from .operators import Calls, OperatorServer, Said
@@ -74,7 +75,9 @@
             known = read_list(config.known)
             version = known.version
             self.driver.members(api.ListScope.SAVED, known.members)
-        self.discovery = Discovery(config.discovery, version, self.driver.members)
+        apart = asks_apart(config.settings.gateways) if config.settings.must_ask_for_list else 0.0
+        chance = random.Random(config.seed)
+        self.discovery = Discovery(config.discovery, version, self.driver.members, chance, apart)
         self.bans = Bans(private_file(config.name, "bans.json"), self.timers, self.driver.hold)
         self.clients = ClientServer(self.driver, int(config.sockets * CLIENT_SHARE), self.room)
         self.operators = OperatorServer(self.calls())
@@ -146,6 +149,8 @@
 
     async def hear_discovery(self) -> None:
         """The list as last known may be old, and a backend in it cold or gone: wait a moment for the news."""
+        if self.discovery.first_wait > NEWS_S:
+            return
         try:
             async with asyncio.timeout(NEWS_S):
                 await self.discovery.heard.wait()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import Any
 
 import pytest
@@ -27,7 +28,7 @@
     async def __aenter__(self) -> Watch:
         await self.service.start()
         address = (LOCAL, self.service.port)
-        self.client = module.Discovery(address, self.version, self.take)
+        self.client = module.Discovery(address, self.version, self.take, random.Random(1))
         self.task = asyncio.create_task(self.client.run())
         return self
 
@@ -188,3 +189,29 @@
             assert not gone.got and there.got
 
     in_loop(scenario)
+
+
+def asks_a_second(gateways: int, seconds: int) -> list[int]:
+    """What a fleet asks in each second that starts at once and is refused throughout."""
+    asked = [0] * seconds
+    apart = module.asks_apart(gateways)
+    for index in range(gateways):
+        client = module.Discovery((LOCAL, 1), 41, lambda *_: None, random.Random(index), apart)
+        now = client.first_wait
+        while now < seconds:
+            asked[int(now)] += 1
+            now += client.pause(heard=False)
+    return asked
+
+
+def test_a_fleet_that_starts_at_once_spreads_its_asks() -> None:
+    """Danger: 40 gateways ask in step, discovery answers none in time, and all keep their old lists."""
+    asked = asks_a_second(40, 60)
+    assert max(asked) <= 3 * module.ASKS_PER_S and sum(asked) <= 60 * module.ASKS_PER_S * 1.25
+    assert min(asked[:9]) > 0  # nor is any time left unused
+
+
+def test_a_small_fleet_asks_at_once() -> None:
+    assert asks_a_second(3, 1)[0] >= 3
+    client = module.Discovery((LOCAL, 1), 41, lambda *_: None, random.Random(1), module.asks_apart(3))
+    assert client.first_wait == 0 and max(client.pause(heard=False) for _ in range(20)) <= 1.5
