Mark a backend that takes nothing once for all classes and plans, as old lists were tried nine times

At fault: Gateway.failing multiplies the marks of class and plan, so a refused connect of one class and plan says nothing of the other eight pairs. Nobody answered there: it has nothing to do with the request.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -493,15 +493,23 @@
         return level * math.exp((at - now) / max(MARK_MS, min(LEASE_MS, MARK_MEETINGS * gap)))
 
     def failing(self, now: float, b: Backend, request: Request) -> float:
-        """How likely it fails this request: one class or plan may fare ill where the others are served."""
+        """How likely it fails this request: one class or plan may fare ill where the others are served.
+
+        A backend that takes no work, gone or full, takes none of any class or plan.
+        """
+        shut = self.mark(now, b, "shut")
         if (of_all := self.mark(now, b, "all")) < 0.01:
-            return 0.0
+            return shut
         of_class, of_plan = (self.mark(now, b, name) for name in request.marks[1:])
-        return min(1.0, of_class * of_plan / of_all)
+        return max(shut, min(1.0, of_class * of_plan / of_all))
 
     def ejected(self, now: float) -> int:
         """How many of the listed backends are avoided, for the operators' figures."""
-        return sum(b.id in self.held or self.mark(now, b, "all") >= EJECTED for b in self.backends.values())
+        marks = "all", "shut"
+        return sum(
+            b.id in self.held or max(self.mark(now, b, name) for name in marks) >= EJECTED
+            for b in self.backends.values()
+        )
 
     def cost(self, now: float, b: Backend, request: Request) -> float:
         """What an answer from this backend should take, judged by answers, failures and silence alike."""
@@ -643,8 +651,10 @@
             self.rate = self.rate * math.exp((self.answered_at - now) / RATE_MS) + 1000 / RATE_MS
             self.answered_at = now
         if outcome not in CALLED_OFF or overdue:  # a client that left early says nothing of the backend
-            for name in attempt.request.marks:
-                level, bad = self.mark(now, b, name), not ok and outcome is not api.Outcome.IGNORED
+            shut = outcome in NEVER_RAN and outcome is not api.Outcome.IGNORED
+            for name in ("shut",) if shut else ("shut", *attempt.request.marks):
+                bad = shut or (name != "shut" and not ok and outcome is not api.Outcome.IGNORED)
+                level = self.mark(now, b, name)
                 b.marks[name] = (level + (bad - level) * BAD, now)
 
     def another(self, now: float, request: Request, out: api.Actions, price: float) -> bool:
--- a/roadpulley/discovery.py
+++ b/roadpulley/discovery.py
@@ -25,8 +25,8 @@
 CONNECT_S = 1.0
 BACKOFF_S = (0.1, 1.0)  # the first wait before a new watch, and the longest
 SPREAD = 0.5  # of a wait, either way
-# A list that has to be asked for comes from one service of a fixed pace for all gateways. Danger: a fleet that
-# asks at once, or again in step, fills its line with asks that were given up, and nobody is told anything.
+# A list that has to be asked for comes from one service of a fixed pace for all gateways. Danger: a fleet
+# that asks at once, or again in step, fills its line with asks given up, and nobody is told anything.
 ASKS_AT_ONCE, ASKS_PER_S = 4, 4.0  # of the whole fleet
 LONGEST_LINE = 1024 * 1024  # bytes: a list of thousands of backends, yet little beside any memory limit
 STATES = {"up": BackendState.READY, "draining": BackendState.DRAINING, "removed": BackendState.GONE}
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -241,6 +241,24 @@
         assert all(len(mine) == 10 for mine in slices([entry(i) for i in range(10)], gateways))
 
 
+def test_a_gateway_learns_once_that_a_backend_takes_nothing() -> None:
+    """Danger: an old list names dead backends, and each gateway tries each again for every class and plan."""
+    plans = tuple(api.Plan(name) for name in ("one", "two", "three"))
+    refused = 0
+    for index in range(40):
+        w = World([entry(i) for i in range(60)], seed=index,
+                  **{**OPEN, "plans": plans, "gateways": 40, "index": index, "max_attempts": 5})
+        for i in range(90):
+            send = one(w.ask(("view", "order", "wipe")[i % 3], plans[i // 3 % 3].name))
+            attempt = 0
+            while send.backend < 20:
+                refused += 1
+                send, attempt = one(w.end(send, api.Outcome.CONNECT, attempt)), attempt + 1
+            w.end(send, attempt=attempt)
+            w.pass_time(20)
+    assert refused <= 1.3 * 40 * 5  # a third of each slice, about once
+
+
 def test_keyed_work_finds_its_rack_outside_the_slice() -> None:
     w = World([entry(i, cell=i // 4) for i in range(60)], **{**OPEN, "gateways": 40})
     for _ in range(15):
