Take a failing backend to fail classes and plans it has not met, as each was tried anew

At fault: Gateway.failing took a class or plan without a mark at a backend for one that it serves, so with an answer in two seconds from each backend a bad one was paid for by each pair and each gateway.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -495,12 +495,13 @@
     def failing(self, now: float, b: Backend, request: Request) -> float:
         """How likely it fails this request: one class or plan may fare ill where the others are served.
 
-        A backend that takes no work, gone or full, takes none of any class or plan.
+        A backend that takes no work, gone or full, takes none of any class or plan. One that fails is taken to
+        fail those that it has not met.
         """
         shut = self.mark(now, b, "shut")
         if (of_all := self.mark(now, b, "all")) < 0.01:
             return shut
-        of_class, of_plan = (self.mark(now, b, name) for name in request.marks[1:])
+        of_class, of_plan = (self.mark(now, b, n) if n in b.marks else of_all for n in request.marks[1:])
         return max(shut, min(1.0, of_class * of_plan / of_all))
 
     def ejected(self, now: float) -> int:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -259,6 +259,22 @@
     assert refused <= 1.3 * 40 * 5  # a third of each slice, about once
 
 
+def test_a_backend_that_fails_all_is_not_tried_anew_for_each_class_and_plan() -> None:
+    """Danger: with few answers from each backend, every gateway pays for a bad one nine times over."""
+    plans = tuple(api.Plan(name) for name in ("one", "two", "three"))
+    failed = 0
+    for index in range(40):
+        w = World([entry(i) for i in range(60)], seed=index,
+                  **{**OPEN, "plans": plans, "gateways": 40, "index": index})
+        for i in range(180):
+            send = one(w.ask(("view", "order", "wipe")[i % 3], plans[i // 3 % 3].name))
+            w.pass_time(20)
+            failed += send.backend < 12
+            bad = send.backend < 12
+            w.end(send, api.Outcome.FAILED if bad else api.Outcome.OK, finished=True)
+    assert failed <= 2.5 * 40 * 3  # a fifth of each slice
+
+
 def test_keyed_work_finds_its_rack_outside_the_slice() -> None:
     w = World([entry(i, cell=i // 4) for i in range(60)], **{**OPEN, "gateways": 40})
     for _ in range(15):
