--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -495,8 +495,8 @@
     def failing(self, now: float, b: Backend, request: Request) -> float:
         """How likely it fails this request: one class or plan may fare ill where the others are served.
 
-        A backend that takes no work, gone or full, takes none of any class or plan. One that fails is taken to
-        fail those that it has not met.
+        A backend that takes no work, gone or full, takes none of any class or plan. One that fails is taken
+        to fail those that it has not met.
         """
         shut = self.mark(now, b, "shut")
         if (of_all := self.mark(now, b, "all")) < 0.01:
