Wait four times the usual time for the counter, as 40 gateways keep its line full

Seen: 45% of the calls end after 30 ms unanswered, all others come in 12 to 30 ms (p50 19): the counter's line is full and the rest of the answers come late, are counted all the same and are thrown away. Ruled out: a counter that loses calls (none is left unanswered after 120 ms), our own time (1 ms to the first attempt). At fault: Counter.wait and Gateway.refresh, which took the settings' wait for the last moment of an answer.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -21,6 +21,7 @@
 SPARSE = 1.5  # of the largest requests: an even part of the burst under this is too thin to spend locally
 WANTS_MS = 3_000.0  # memory of the wants
 EVENLY, BY_WANTS = 0.5, 0.45  # of a ceiling: divided evenly, and by wants; the rest is for late readings
+COUNT_PATIENCE = 5.0  # of a call's usual time: past what the network code waits for an answer
 LEAST_SAID = 0.01  # units: an amount of 0 only reads
 FRESH_MS, SURGE = 100.0, 5.0  # a sparse reading stands until so many quotas at once could spend what is left
 # How refreshes thin out as calls fail, and come back: a few calls in a hundred lost on the way thin nothing.
@@ -202,8 +203,8 @@
         if now < c.fresh_until or not self.settings.may_count or not c.plan.rate:
             return False
         if self.random.random() > self.counter_room:
-            # Crowded. A next refresh adds this one's units too; but that of a sparse lease may come too late to
-            # be of use, or never, so those that find room stand for those that found none.
+            # Crowded. A next refresh adds this one's units too; but that of a sparse lease may come too late
+            # to be of use, or never, so those that find room stand for those that found none.
             c.unsaid -= request.units if c.sparse else 0.0
             return False
         said = max(LEAST_SAID, c.unsaid)  # units given back may outweigh those asked
@@ -212,7 +213,7 @@
         c.fresh_until = now + (FRESH_MS if c.sparse else REFRESH_MS)
         self.count(c, int(now // PERIOD_MS), said, out, request.id if c.sparse else "")
         if c.sparse:
-            self.watch(now, request, now + 2 * self.settings.count_wait, out)
+            self.watch(now, request, now + COUNT_PATIENCE * self.settings.count_wait, out)
         return c.sparse
 
     def settle(self, c: Customer, more: float, out: api.Actions) -> None:
--- a/roadpulley/counter.py
+++ b/roadpulley/counter.py
@@ -19,6 +19,7 @@
 
 log = logging.getLogger(__name__)
 
+PATIENCE = 4.0  # times the settings' wait: a busy counter's later answers are as true and cost no call more
 CONNECTIONS = 4  # a slow part of the counter holds up only the answers behind it on one of them
 SILENT_MS = 1_000.0  # a connection that owes an answer and says nothing for this long is taken for lost
 RETIRE_MS = 3_000.0  # unused for this long: closed before the counter does it under a call
@@ -191,7 +192,7 @@
     def __init__(
         self, loop: asyncio.AbstractEventLoop, timers: Timers, address: Address, wait: float
     ) -> None:
-        self.loop, self.timers, self.address, self.wait = loop, timers, address, wait
+        self.loop, self.timers, self.address, self.wait = loop, timers, address, wait * PATIENCE
         self.idle_times = IdleTimes(RETIRE_MS)
         self.lanes = [Lane(self) for _ in range(CONNECTIONS)]
 
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import pytest
@@ -12,7 +12,7 @@
 
 from mintford.interface import Outcome
 from roadpulley import counter as module
-from roadpulley.clock import Timers
+from roadpulley.clock import Timer, Timers, now_ms
 from roadpulley.counter import Counter, read_answer
 
 Ending = tuple[str, Outcome, float]
@@ -233,3 +233,23 @@
             assert 3 <= len(lost) < 10
 
     in_loop(scenario)
+
+
+def test_a_busy_counter_is_waited_for_past_its_usual_time() -> None:
+    """Danger: 40 gateways keep the counter's line full, and late answers are thrown away."""
+
+    class Noted(Timers):
+        due: list[float] = []
+
+        def at(self, due: float, callback: Callable[[], None]) -> Timer:
+            self.due.append(due)
+            return super().at(due, callback)
+
+    async def scenario() -> None:
+        loop, begun = asyncio.get_running_loop(), now_ms()
+        counter = Counter(loop, Noted(loop), (LOCAL, 1), 30.0)
+        counter.add("n", 1.0, 4000.0, lambda *_: None)
+        counter.close()
+        assert Noted.due[0] - begun >= 3 * 30.0
+
+    in_loop(scenario)
