Read again how each period ended, as a first reading without it gave a spent burst back

The read that was saved is a round trip in which the same happens later (an open item of the README). Capping the store at the gateway's own view refused a burst by the phase of the clock instead.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -284,9 +284,6 @@
         if same:
             return self.share_out(now, c, others, amount, max(c.store, rate * window - spent), 0.0)
         since = max(0.0, now - period * PERIOD_MS) / 1000  # its beginning
-        if others + amount <= rate * since:
-            # All of this period fits into what its time brought, however the last one ended.
-            return self.share_out(now, c, others, amount, max(rate * since, c.store if last else 0.0), 0.0)
         brought = max(c.store, rate * window - spent) if last else rate * since
         c.begun = others, amount, brought, before if last else -1.0
         self.count(c, period - 1, 0.0, out, held)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -265,10 +265,8 @@
         (call,) = counts(actions)
         assert not sends(actions) and not refusals(actions)
         world.give(api.CounterReplied(call.name, api.Outcome.OK, reading))
-        last = [a for a in counts(a for _, a in world.log) if a != call]
-        assert len(last) == 1 - sent  # where what is told fits, how the last period ended is not read
-        for read in last:
-            world.give(api.CounterReplied(read.name, api.Outcome.OK, 0.0))
+        (last,) = (a for _, a in world.log if isinstance(a, api.Count) and a != call)
+        world.give(api.CounterReplied(last.name, api.Outcome.OK, 0.0))
         assert len(sends(a for _, a in world.log)) == sent
         assert len(refusals(a for _, a in world.log)) == 1 - sent
 
