Save the read of a period's end for sparse leases alone, whose first reading comes before a send

Given back a spent burst were only leases that are not sparse: those send before the first reading comes. A sparse one waits for it; what it sent on without one, where the counter left no room, is taken off.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -284,6 +284,10 @@
         if same:
             return self.share_out(now, c, others, amount, max(c.store, rate * window - spent), 0.0)
         since = max(0.0, now - period * PERIOD_MS) / 1000  # its beginning
+        if c.sparse and others + amount + spent <= rate * since:
+            # All wants of this period fit into what its time brought, however the last one ended.
+            brought = max(rate * since - spent, c.store if last else 0.0)
+            return self.share_out(now, c, others, amount, brought, 0.0)
         brought = max(c.store, rate * window - spent) if last else rate * since
         c.begun = others, amount, brought, before if last else -1.0
         self.count(c, period - 1, 0.0, out, held)
