Ask again soon after discovery has moved, and survive backends that can do nothing yet

Discovery's news counts as told 4 s after a move, but the spread of a large fleet's asks waited 4.5 to 13 s; and a share of what all can do divided by nothing where a platform's cold backends surely can do nothing at their start.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -542,7 +542,7 @@
             if owed := [b for b in may if b.owed_at <= now and b.warmth(now) < 1]:
                 return owed[0]
             b = self.random.choice(may)
-            lift = len(may) / sum(other.warmth(now) for other in may)  # where many are cold, each takes more
+            lift = len(may) / max(1e-9, sum(o.warmth(now) for o in may))  # more where many are cold
             part = b.warmth(now) * min(lift, max(1.0, self.settings.rules.fall_multiple / 2))
             if b.warmth(now) < 1 and self.random.random() < part and self.failing(now, b, request) < 0.5:
                 return b
--- a/roadpulley/discovery.py
+++ b/roadpulley/discovery.py
@@ -97,7 +97,7 @@
     ) -> None:
         self.address, self.version, self.listener, self.chance = address, version, listener, chance
         self.apart = apart  # seconds that the fleet's asks are spread over; 0: an ask costs nobody anything
-        self.wait = BACKOFF_S[0]
+        self.wait, self.moved = BACKOFF_S[0], False  # moved: the platform expects its news to be taken soon
         self.first_wait = chance.uniform(0, apart) if version is not None else 0.0
         self.writer: asyncio.StreamWriter | None = None  # of the watch that is open
         self.heard = asyncio.Event()  # it has told something
@@ -106,7 +106,7 @@
         """Follow the list at another address, from the version it has."""
         if address != self.address:
             log.info("discovery moves to %s:%d", *address)
-            self.address = address
+            self.address, self.moved = address, True
             if self.writer is not None:
                 self.writer.close()  # ends the watch; the next one goes to the new address
 
@@ -133,7 +133,8 @@
     def pause(self, heard: bool) -> float:
         """Seconds until the next watch, after one that told something or did not."""
         self.wait = BACKOFF_S[0] if heard else min(BACKOFF_S[1], self.wait * 2)
-        return max(self.wait, self.apart) * self.chance.uniform(1 - SPREAD, 1 + SPREAD)
+        apart, self.moved = 0.0 if self.moved else self.apart, False
+        return max(self.wait, apart) * self.chance.uniform(1 - SPREAD, 1 + SPREAD)
 
     def _target(self) -> str:
         # With no version known, the whole list comes first.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -364,6 +364,12 @@
     assert 0.7 < cold / warm < 1.1
 
 
+def test_backends_that_surely_can_do_nothing_yet_are_survived() -> None:
+    rules = api.SafetyRules(500, 0.0, 16_000, 3)
+    w = World([entry(i, started=10_000) for i in range(3)], **{**OPEN, "rules": rules})
+    assert refusals(w.ask())
+
+
 def test_odd_settings_are_survived() -> None:
     for spread in (0, 1, 5000):
         for rate in (0.01, 10_000.0):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -215,3 +215,9 @@
     assert asks_a_second(3, 1)[0] >= 3
     client = module.Discovery((LOCAL, 1), 41, lambda *_: None, random.Random(1), module.asks_apart(3))
     assert client.first_wait == 0 and max(client.pause(heard=False) for _ in range(20)) <= 1.5
+
+
+def test_after_a_move_of_discovery_even_a_large_fleet_asks_soon() -> None:
+    client = module.Discovery((LOCAL, 1), 41, lambda *_: None, random.Random(1), module.asks_apart(40))
+    client.move((LOCAL, 2))
+    assert client.pause(heard=True) <= 0.2 < 4 < client.pause(heard=False)
