One budget of descriptors, fair shares of connections, and handshakes in turn

Need (issue on connections): clients, pool and upgrade each computed shares of their own; a peer could fill the table; a full pool ended attempts as 'could not connect' and marked healthy backends (backends.py send, rules.py judge).

descriptors.py owns the budget, follows the limit, the other process of an upgrade and RLIMIT_NOFILE, and has connections closed when the system gives none; one spare descriptor is kept for operators. clients.py knows young, in use and idle connections and who gives way. mintford/shares.py: max-min fair shares under pressure, of connections among peers and of open requests among customers. Attempts wait for a connection in turn, four handshakes to a backend at most, and take one that becomes free; no room is an outcome of its own (NO_ROOM) and no mark. Accepting slows down as turns get long. Answers left unread end by what the peer takes, also of a connection that is being closed. Counts in /ops/stats and the log.

--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -52,6 +52,7 @@
     RESET = "ResetByPeer"
     CANCELLED = "Canceled"
     IGNORED = "Ignored"
+    NO_ROOM = "no room"  # no connection of this gateway's own was left for it; the simulator knows none
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -42,7 +42,7 @@
 RATE_MS = 800.0  # memory of the rate of answers: steady, yet quick to follow a shift
 CALM = 0.1  # of the aim: latency under which capacity counts as clearly spare
 MOST_PASSED = 4_096  # customers that an upgrade passes over, those met last
-NEVER_RAN = {api.Outcome.FULL, api.Outcome.CONNECT, api.Outcome.IGNORED}
+NEVER_RAN = {api.Outcome.FULL, api.Outcome.CONNECT, api.Outcome.IGNORED, api.Outcome.NO_ROOM}
 CALLED_OFF = {api.Outcome.TIMED_OUT, api.Outcome.CANCELLED}
 
 
@@ -626,7 +626,8 @@
         if request.customer.plan.open_limit:
             self.tell(request.customer, out, open=-1)
         request.live.remove(event.attempt)
-        if not attempt.began:
+        no_room = event.outcome is api.Outcome.NO_ROOM  # tells of this gateway, and nothing of the backend
+        if not attempt.began and not no_room:
             self.judge(now, attempt, event.outcome)
         if never_ran:
             request.ran.remove(attempt)
@@ -642,7 +643,9 @@
             self.cancel_all(request, out)
         elif not request.live:
             price = 0.0 if never_ran else 1.0
-            if event.spent or not self.another(now, request, out, price):
+            if no_room:  # nor would another backend find any
+                self.finish(request, out, reason="room")
+            elif event.spent or not self.another(now, request, out, price):
                 self.finish(request, out)
 
     def judge(self, now: float, attempt: Attempt, outcome: api.Outcome) -> None:
--- a/roadpulley/accept.py
+++ b/roadpulley/accept.py
@@ -10,13 +10,16 @@
 import logging
 import os
 import socket
+import time
 from collections.abc import Callable
 
 from .config import Address
+from .descriptors import Budget
 
 log = logging.getLogger(__name__)
 
 AT_ONCE = 8  # connections accepted in one turn of the event loop; what they displace is closed by the next
+TURN_S = 0.01  # between two turns that accept: a longer one keeps requests already taken waiting
 REST_S = 0.05  # before the next try when the system gives no descriptor
 INHERITED = "LB_INHERITED_FD"
 
@@ -50,11 +53,43 @@
     return None
 
 
-class Acceptor:
-    """Hands each connection that comes to a protocol of its own, until it is closed."""
+class Pace:
+    """How many connections to accept in a turn: in a rush, requests already taken must keep their time.
+
+    A turn that came late had much to do, so half as many are accepted; after one in time, one more. At least
+    one: a request that waits in the backlog counts as taken too.
+    """
+
+    def __init__(self) -> None:
+        self.most, self.last = AT_ONCE, -1.0
 
-    def __init__(self, sock: socket.socket, make: Callable[[], asyncio.BaseProtocol]) -> None:
+    def turn(self, now: float, rushed: bool) -> int:
+        """`rushed`: the turn before took all it might, so the time since then was spent on one turn."""
+        if rushed:
+            late = now - self.last > TURN_S
+            self.most = max(1, self.most // 2) if late else min(AT_ONCE, self.most + 1)
+        else:
+            self.most = AT_ONCE
+        self.last = now
+        return self.most
+
+
+class Acceptor:
+    """Hands each connection that comes to a protocol of its own, until it is closed.
+
+    `first`: it may use the budget's spare descriptor, as operators' calls go before all others.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        make: Callable[[], asyncio.BaseProtocol],
+        budget: Budget,
+        first: bool = False,
+    ) -> None:
         self.loop, self.socket, self.make = asyncio.get_running_loop(), sock, make
+        self.budget, self.first = budget, first
+        self.pace, self.rushed = Pace(), False
         self.opening: set[asyncio.Task[object]] = set()
         self.resting: asyncio.TimerHandle | None = None
         self.accepts = self.closed = False
@@ -79,12 +114,18 @@
             self.resting.cancel()
 
     def _accept(self) -> None:
-        for _ in range(AT_ONCE):
+        most = self.pace.turn(time.monotonic(), self.rushed)
+        self.rushed = False
+        for _ in range(most):
             try:
                 accepted, _ = self.socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except (BlockingIOError, InterruptedError):
                 return
+            except ConnectionAbortedError:
+                continue  # this peer has gone; others may wait behind it
             except OSError as error:  # most likely no descriptor is left
+                if self.budget.relieve(error) and self.first and self.budget.lend_spare():
+                    continue
                 log.warning("no connection can be accepted: %s", error)
                 self.loop.remove_reader(self.socket.fileno())
                 self.resting = self.loop.call_later(REST_S, self.resume)
@@ -93,6 +134,7 @@
             task: asyncio.Task[object] = self.loop.create_task(self._open(accepted))
             self.opening.add(task)
             task.add_done_callback(self.opening.discard)
+        self.rushed = True
 
     async def _open(self, accepted: socket.socket) -> None:
         try:
--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -14,12 +14,15 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Literal
 
 from mintford.interface import BackendState, Outcome
 
 from .clock import Timer, Timers, now_ms
 from .config import Address
+from .descriptors import Budget, Part
+from .figures import Figures
 from .idle import AT_ONCE_MS, IdleTimes
 from .resp import END, NOT_YET, Line, NotWhole, Opened, ProtocolError, Reader, Value
 from .streams import LONGEST, WHOLE, Body, Passing, Room
@@ -46,6 +49,9 @@
     began: Callable[[Attempt, int], Passing | None]  # a long answer has begun; None: nobody needs it
     body: Body | None = None  # a long value that follows what `encode` gives
     connection: Connection | None = None
+    host: Host | None = None  # where it waits for a connection
+    connecting: bool = False  # while it waits, a handshake was begun for it
+    wait: Timer | None = None  # the end of that wait
     timer: Timer | None = None  # of its time-out
     cost: float = 0.0  # the true units, as the answer tells them; 0: not told
     over: bool = False
@@ -53,10 +59,19 @@
     def end(self, outcome: Outcome, value: bytes = b"") -> None:
         if not self.over:
             self.over, self.connection = True, None
+            self.leave()
             if self.timer is not None:
                 self.timer.cancel()
             self.ended(self, outcome, value)
 
+    def leave(self) -> None:
+        """It waits no longer: it has got a connection, or has ended."""
+        if self.host is not None:
+            del self.host.waiting[self]
+            self.host = None
+        if self.wait is not None:
+            self.wait.cancel()
+
 
 class Connection:
     """One connection, with one attempt on it at a time.
@@ -64,9 +79,9 @@
     Answers come in order and giving up means closing, so a second attempt would share the first one's fate.
     """
 
-    def __init__(self, pool: Backends, host: Host, attempt: Attempt) -> None:
+    def __init__(self, pool: Backends, host: Host) -> None:
         self.pool, self.host, self.address = pool, host, host.address
-        self.attempt: Attempt | None = attempt
+        self.attempt: Attempt | None = None
         self.reader = Reader(MOST_ITEMS, LARGEST_REPLY, WHOLE, LONGEST)
         self.unsent = memoryview(b"")
         self.up = self.closed = self.writing = self.flushing = self.paused = False
@@ -76,7 +91,6 @@
         self.idle_since = self.idle_for = self.sent_at = 0.0  # idle_for: before the attempt that is on it
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.fd = self.socket.fileno()
-        attempt.connection = self
         try:
             self.socket.setblocking(False)
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -87,7 +101,7 @@
             self.socket.close()
             raise
         self.timer: asyncio.TimerHandle | None = pool.loop.call_later(
-            pool.connect_timeout / 1000, self.end, Outcome.CONNECT
+            pool.connect_timeout / 1000, self._not_up, False
         )
         pool.loop.add_writer(self.fd, self._came_up)
 
@@ -96,12 +110,22 @@
         if self.timer is not None:
             self.timer.cancel()
         if self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            return self.end(Outcome.CONNECT)
+            return self._not_up(True)
         self.up = True
+        self.host.opening.discard(self)
         self.pool.loop.add_reader(self.fd, self._readable)
-        self.write()
+        self.pool.release(self)
+        self.pool.open_for(self.host)
+
+    def _not_up(self, refused: bool) -> None:
+        """The handshake has failed; who waits longest for one hears of a refusal, the others wait on."""
+        self.pool.figures.failed += 1
+        self.close()
+        if refused and (attempt := next(iter(self.host.waiting), None)) is not None:
+            attempt.end(Outcome.CONNECT)
 
     def start(self, attempt: Attempt, idle: float) -> None:
+        attempt.leave()
         self.attempt, attempt.connection, self.idle_for = attempt, self, idle
         self.write()
 
@@ -160,7 +184,7 @@
                 self.unsent, self.ending = memoryview(END), True
             return bool(self.unsent)
         self.sent, self.sent_at = True, now_ms()
-        self.pool.on_forward()
+        self.pool.figures.forwarded()
         attempt.written(attempt)
         return False
 
@@ -269,6 +293,7 @@
         self.pool.loop.remove_reader(self.fd)
         self.pool.loop.remove_writer(self.fd)
         self.socket.close()
+        self.host.opening.discard(self)
         self.pool.forget(self)
 
     def alive(self) -> bool:
@@ -310,6 +335,8 @@
     def __init__(self, address: Address, held: bool) -> None:
         self.address, self.held = address, held  # held: taken out by operators
         self.idle: list[Connection] = []  # the last used at the end
+        self.opening: set[Connection] = set()  # handshakes under way
+        self.waiting: dict[Attempt, None] = {}  # for a connection, the longest first
         self.cutoff = float("inf")
 
     def takes_new(self, now: float) -> bool:
@@ -317,7 +344,12 @@
 
 
 class Backends:
-    """The pools. Decides nothing: it sends where it is told, or says why it cannot."""
+    """The pools. Decides nothing: it sends where it is told, or says why it cannot.
+
+    An attempt that finds no idle connection waits for one, whichever comes first: a handshake begun for it,
+    or one that another attempt leaves. Few handshakes go to one backend at a time, and all connections
+    together are bounded; who gets none within the time for a handshake is told so.
+    """
 
     def __init__(
         self,
@@ -326,13 +358,15 @@
         connect_timeout: float,
         keepalive: float,
         drain_grace: float,
-        most: int,
-        on_forward: Callable[[], None],
+        budget: Budget,
+        figures: Figures,
         room: Room,
     ) -> None:
         self.loop, self.timers, self.connect_timeout = loop, timers, connect_timeout
-        self.drain_grace, self.most, self.on_forward = drain_grace, most, on_forward
-        self.room = room
+        self.drain_grace, self.budget, self.figures, self.room = drain_grace, budget, figures, room
+        self.wanting: dict[Host, None] = {}  # where attempts wait and the pool is full, the longest first
+        self.serving: asyncio.Handle | None = None  # these are looked after at the end of this turn
+        budget.relief.append(self.close_oldest)
         self.idle_times = IdleTimes(keepalive * IDLE_SHARE)
         self.hosts: dict[int, Host] = {}
         self.held: set[int] = set()  # taken out by operators, whether listed or not
@@ -378,46 +412,115 @@
             if self.idle_times.allows(now, idle) and connection.alive():
                 return connection.start(attempt, idle)
             connection.close()
-        if len(self.connections) >= self.most:
-            self.close_oldest()
-        if len(self.connections) >= self.most:
-            return attempt.end(Outcome.CONNECT)  # better one request turned away than no descriptors left
+        attempt.host, host.waiting[attempt] = host, None
+        until = min(now_ms() + self.connect_timeout, attempt.expires)
+        attempt.wait = self.timers.at(until, partial(self.waited, attempt))
+        self.figures.waited += 1
+        self.open_for(host)
+
+    def open_for(self, host: Host) -> None:
+        """Begin as many handshakes as attempts wait for, so far as that goes."""
+        for attempt in [a for a in host.waiting if not a.connecting]:
+            if len(host.opening) >= min(len(host.waiting), self.budget.shares.connects):
+                return
+            if not host.takes_new(now_ms()):
+                attempt.end(Outcome.CONNECT)
+            elif not self.budget.may(Part.BACKENDS) and not self.close_oldest(1):
+                self.wanting[host] = None
+                return
+            else:
+                self.open(host, attempt)
+
+    def open(self, host: Host, attempt: Attempt) -> None:
         try:
-            self.connections.add(Connection(self, host, attempt))
+            made = Connection(self, host)
         except OSError as error:
             self.unopened.append(error)
-            attempt.end(Outcome.CONNECT)
+            if self.budget.relieve(error):
+                self.wanting[host] = None
+            else:
+                attempt.end(Outcome.CONNECT)
+            return
+        attempt.connecting = True
+        self.figures.begun += 1
+        self.budget.take(Part.BACKENDS)
+        self.connections.add(made)
+        host.opening.add(made)
+
+    def waited(self, attempt: Attempt) -> None:
+        """It has got no connection: the backend's doing if a handshake was under way, else this pool's."""
+        if attempt.host is not None:
+            attempt.end(self.unserved(attempt))
+
+    def unserved(self, attempt: Attempt) -> Outcome:
+        if now_ms() >= attempt.expires:
+            return Outcome.IGNORED
+        shaking = attempt.connecting or (attempt.host is not None and bool(attempt.host.opening))
+        return Outcome.CONNECT if shaking else Outcome.NO_ROOM
+
+    def serve(self) -> None:
+        """Places have become free: those who want them get them in turn."""
+        self.serving = None
+        wanting, self.wanting = list(self.wanting), {}
+        for host in wanting:
+            self.open_for(host)
 
     def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         connection = attempt.connection
         if connection is not None:
-            waiting = outcome is Outcome.TIMED_OUT and connection.broken() is Outcome.CONNECT
-            connection.end(Outcome.CONNECT if waiting else outcome)
+            unsent = outcome is Outcome.TIMED_OUT and connection.broken() is Outcome.CONNECT
+            connection.end(Outcome.CONNECT if unsent else outcome)
+        elif attempt.host is not None and outcome is Outcome.TIMED_OUT:
+            attempt.end(self.unserved(attempt))
         else:
             attempt.end(outcome)
 
     # ---- pools ----
 
     def release(self, connection: Connection) -> None:
+        """A connection is free: for who waits for its backend, for who waits for any, or to stand idle."""
         host = connection.host
-        if host.held or host.cutoff < float("inf") or connection.address != host.address:
+        if connection.address != host.address or not host.takes_new(now_ms()):
+            return connection.close()
+        if (attempt := next(iter(host.waiting), None)) is not None:
+            return connection.start(attempt, 0.0)
+        if host.cutoff < float("inf") or (self.wanting and not self.budget.may(Part.BACKENDS)):
             return connection.close()
         connection.idle_since = now_ms()
         host.idle.append(connection)
 
     def forget(self, connection: Connection) -> None:
-        self.connections.discard(connection)
+        if connection in self.connections:
+            self.connections.discard(connection)
+            self.budget.free(Part.BACKENDS)
         if connection in connection.host.idle:
             connection.host.idle.remove(connection)
+        if connection.host.waiting:
+            self.wanting[connection.host] = None
+        if self.wanting and self.serving is None:
+            self.serving = self.loop.call_soon(self.serve)
 
     def close_idle(self, host: Host) -> None:
         for connection in list(host.idle):
             connection.close()
 
-    def close_oldest(self) -> None:
-        idle = [h.idle[0] for h in self.hosts.values() if h.idle]
-        if idle:
-            min(idle, key=lambda c: c.idle_since).close()
+    def close_oldest(self, wanted: int) -> int:
+        """Close up to so many idle connections, the longest unused first; gives how many."""
+        idle = sorted((c for h in self.hosts.values() for c in h.idle), key=lambda c: c.idle_since)
+        for connection in idle[:wanted]:
+            connection.close()
+        return len(idle[:wanted])
+
+    def gauges(self) -> dict[str, int]:
+        idle = sum(len(host.idle) for host in self.hosts.values())
+        opening = sum(not connection.up for connection in self.connections)
+        waiting = sum(len(host.waiting) for host in self.hosts.values())
+        return {
+            "backends.opening": opening,
+            "backends.in_use": len(self.connections) - idle - opening,
+            "backends.idle": idle,
+            "backends.waiting": waiting,
+        }
 
     def sweep(self) -> None:
         now = now_ms()
@@ -438,5 +541,9 @@
         self.timers.at(now + SWEEP_MS, self.sweep)
 
     def close(self) -> None:
+        self.wanting.clear()
+        for host in self.hosts.values():
+            for attempt in list(host.waiting):
+                attempt.end(Outcome.CONNECT)
         for connection in list(self.connections):
             connection.end(connection.broken())
--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -13,7 +13,11 @@
 from dataclasses import dataclass
 from typing import Protocol, cast
 
+from mintford.shares import FairShares
+
 from .accept import Acceptor
+from .descriptors import Budget, Part
+from .figures import Evicted, Figures
 from .resp import NOT_YET, Opened, ProtocolError, Reader, Value
 from .streams import LONGEST, WHOLE, Body, Passing, Room
 
@@ -39,7 +43,9 @@
 SWEEP_S = 0.25
 OWED_S = 2.5  # for a head or the next piece of a value: slow clients take 2 s; a peer is owed a no within 3 s
 SLOWEST_S = 30.0  # for a value that is held whole to come, however steadily
-UNREAD_S = 15.0  # that a client may leave its answers unread: nobody waits that long for one
+LONGEST_S = 120.0  # for one that is passed on in pieces, likewise: longer than its request is kept
+UNREAD_S = 15.0  # that a client may read nothing of an answer: nobody waits that long for one
+DRIBBLE_S = 60.0  # that a client may take to read all it has been answered, however steadily
 PARTING_IDLE_S = 0.25  # on a drain, a connection on which nothing comes for this long is closed
 HANDED_IDLE_S = 0.5  # after a hand-over, most connections close with an answer; idle ones from then on
 UNUSED_S = 60.0  # a connection of no use for this long is closed; clients open another when they need one
@@ -141,6 +147,12 @@
     def on_command(self, command: Command, slot: Slot) -> None:
         """Raises ValueError, with the reason, for what the settings know nothing of."""
 
+    def check(self, command: Command) -> None:
+        """Raises as above."""
+
+    def on_crowded(self, command: Command, slot: Slot) -> None:
+        """A proper request that is refused, as its peer gets no place."""
+
     def on_whole(self, request: str) -> None:
         """The last byte of a request with a long value has come."""
 
@@ -156,15 +168,21 @@
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
         self.slow = self.stopped = self.closing = self.pumping = self.unread = False
+        self.peer = ""  # its address; connections are shared out among these
+        self.proven = False  # it has sent a proper request
         self.used_at = time.monotonic()  # a command came or an answer was written
         self.owes_since: float | None = self.used_at  # the peer: its first command, or the rest of one
-        self.slow_since = self.heard_at = 0.0  # heard_at: when bytes of what is coming in last came
+        self.heard_at = self.body_since = 0.0  # bytes of what is coming in last came; a long value began
+        self.written = self.taken = 0  # bytes of answers: given to the transport; of these, gone to the peer
+        self.behind_since = self.taken_at = 0.0  # answers wait to be read; the peer last took some
 
     # ---- from the event loop ----
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         self.transport.set_write_buffer_limits(high=MOST_UNREAD)
+        # A peer that has reset the connection by now has no address any more.
+        self.peer = (self.transport.get_extra_info("peername") or ("",))[0]
         self.server.opened(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -181,7 +199,7 @@
 
     def pause_writing(self) -> None:
         # A client that asks and does not read would make us hold all of its answers.
-        self.slow, self.slow_since = True, time.monotonic()
+        self.slow = True
         self._throttle()
 
     def resume_writing(self) -> None:
@@ -255,7 +273,7 @@
         items = [item for item in opened.items if isinstance(item, bytes)]
         if opened.missing != 1 or items != opened.items or not items or items[0].upper() not in REQUESTS:
             raise ProtocolError("value too long")
-        self.heard_at = time.monotonic()
+        self.heard_at = self.body_since = time.monotonic()
         body = self.body = Body(self.server.room, opened.length)
         body.spare = self.pump
         slot = self.body_slot = self.command([*items, b""], body)
@@ -302,7 +320,9 @@
                 break
             self.slots.popleft()
         if due and self.transport is not None:
-            self.transport.write(due[0] if len(due) == 1 else b"".join(due))
+            answers = due[0] if len(due) == 1 else b"".join(due)
+            self.transport.write(answers)
+            self.written += len(answers)
             self.used_at = time.monotonic()
             self.server.used(self)
 
@@ -338,7 +358,7 @@
     def _late(self, now: float) -> bool:
         """Whether the peer has left a command hanging for too long."""
         if self.body is not None:
-            return now - self.heard_at > OWED_S
+            return now - self.heard_at > OWED_S or now - self.body_since > LONGEST_S
         if self.owes_since is None or now - self.owes_since <= OWED_S:
             return False
         steady = now - self.heard_at <= OWED_S and now - self.owes_since <= SLOWEST_S
@@ -353,19 +373,38 @@
         """End what a peer has left hanging, so that it holds neither memory nor a descriptor for ever."""
         if self.transport is None:
             return
-        if self.slow:
-            if now - self.slow_since > UNREAD_S:
-                log.warning("client left its answers unread for %.0f s", now - self.slow_since)
-                self.transport.abort()
+        if self._unread(now):
+            log.warning("client left its answers unread for %.0f s", now - self.behind_since)
+            self.server.evict(self, Evicted.UNREAD)
         elif self.closing or self.stopped:
             return  # its answers are due first, and it is read no further until then
         elif self._late(now):
+            self.server.figures.evicted[Evicted.OWING] += 1
             self.refuse_protocol(ValueError("no whole command in time"))
             self.pump()
-        elif not self.slots:
+        elif not self.slots and not self.transport.get_write_buffer_size():
             parts = self._parts() and now > self.server.idle_from
             if now - self.used_at > (PARTING_IDLE_S if parts else UNUSED_S):
-                self.transport.close()
+                self.server.evict(self, Evicted.PARTING if parts else Evicted.UNUSED)
+
+    def _unread(self, now: float) -> bool:
+        """Whether the peer has left what it was answered unread: it has vanished, or reads too slowly."""
+        if self.transport is None or not (left := self.transport.get_write_buffer_size()):
+            self.behind_since = 0.0
+            return False
+        taken = self.written - left
+        if not self.behind_since:
+            self.behind_since = self.taken_at = now
+        elif taken != self.taken:
+            self.taken_at = now
+        self.taken = taken
+        dribbles = self.value_is_whole and now - self.behind_since > DRIBBLE_S
+        return now - self.taken_at > UNREAD_S or dribbles
+
+    @property
+    def value_is_whole(self) -> bool:
+        """Whether no long answer is on its way through here: such a one lasts as long as its bytes move."""
+        return not self.slots or self.slots[0].value is None
 
     def command(self, given: Value, body: Body | None = None) -> Slot | None:
         args = [arg for arg in given if isinstance(arg, bytes)] if isinstance(given, list) else []
@@ -380,7 +419,10 @@
             try:
                 command = parse_command(args, body)
                 slot.request = command.id
-                self.server.handler.on_command(command, slot)
+                if self.proven or self.server.prove(self, command):
+                    self.server.handler.on_command(command, slot)
+                else:
+                    self.server.handler.on_crowded(command, slot)
             except ValueError as error:
                 slot.request = None
                 self.refuse_command(slot, " ".join(str(error).split()), owed)
@@ -404,17 +446,31 @@
 
     @property
     def idle(self) -> bool:
-        unused = not self.slots and self.body is None
-        return unused and self.transport is not None and not self.transport.is_closing()
+        """Nothing is open on it, partly read or still to be written: it may be closed at any time."""
+        if self.transport is None or self.transport.is_closing() or self.closing:
+            return False
+        open_here = bool(self.slots) or self.body is not None or self.reader.has_data() or self.unread
+        return not open_here and not self.transport.get_write_buffer_size()
 
 
 class ClientServer:
-    """Listens, and bounds the connections of clients."""
+    """Listens, and owns the connections of clients: their states, their bounds and who gives way.
 
-    def __init__(self, handler: Handler, most: int, room: Room) -> None:
-        self.handler, self.most, self.room = handler, most, room
+    A connection is young until its peer has sent a proper request, then in use or idle. The budget's part
+    for clients is shared out under pressure alone: most places may be proven ones of any peer, the rest is
+    for young ones and for peers that hold little. Who gives way: the oldest young one, then the longest idle
+    of the peer that holds most; never one with a request open or partly read. Where nobody can, a newcomer is
+    closed, and a first proper request is answered at once that it is harmless to come again.
+    """
+
+    def __init__(self, handler: Handler, budget: Budget, room: Room, figures: Figures) -> None:
+        self.handler, self.budget, self.room, self.figures = handler, budget, room, figures
         self.buffer = memoryview(bytearray(READ_BYTES))  # what is read is taken before the next read
-        self.connections: dict[ClientConnection, None] = {}  # the longest unused first
+        self.connections: set[ClientConnection] = set()
+        self.young: dict[ClientConnection, None] = {}  # the oldest first
+        self.proven: dict[str, dict[ClientConnection, None]] = {}  # by peer, the longest unused first
+        self.shares = FairShares(0)  # of proven connections, among peers
+        self.resize()
         self.leaving = self.parting = False  # PING says no; connections are closed after their answers
         self.ending = self.handed = False  # a drain that is not undone; another process takes the clients
         self.idle_from = 0.0  # while parting, idle connections are closed from then on
@@ -423,10 +479,28 @@
         self.sweeping: asyncio.TimerHandle | None = None
         self.empty = asyncio.Event()
         self.empty.set()
+        budget.relief.append(self.make_room)
+
+    @property
+    def most(self) -> int:
+        return self.budget.most(Part.CLIENTS)
+
+    @property
+    def most_young(self) -> int:
+        return max(1, int(self.most * self.budget.shares.young))
+
+    @property
+    def live(self) -> int:
+        """Connections that are not about to be closed here."""
+        return len(self.young) + self.shares.total
+
+    def resize(self) -> None:
+        """Follow the budget. Proven ones have all places but the young ones' before they are shared out."""
+        self.shares.most, self.shares.pressed_at = self.most, self.most - self.most_young
 
     def listen(self, sock: socket.socket) -> int:
         """Start to accept; gives the port."""
-        self.acceptor = Acceptor(sock, lambda: ClientConnection(self))
+        self.acceptor = Acceptor(sock, lambda: ClientConnection(self), self.budget)
         self.sweep()
         return self.acceptor.port
 
@@ -462,6 +536,7 @@
         now = time.monotonic()
         for connection in list(self.connections):
             connection.check(now)
+        self.budget.keep_spare()
         self.sweeping = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
     def close(self) -> None:
@@ -470,26 +545,93 @@
                 handle.cancel()
         self.stop_accepting()
 
+    # ---- who gets a place, and who gives way ----
+
     def opened(self, connection: ClientConnection) -> None:
-        self.connections[connection] = None
+        """A newcomer is young. Once places are few, these are held to a bound of their own."""
+        self.budget.take(Part.CLIENTS)
+        self.connections.add(connection)
+        self.young[connection] = None
         self.empty.clear()
-        if len(self.connections) > self.most:
-            # Out of descriptors nothing works any more, so give up a connection that nobody is using: first
-            # one that has yet to send a proper request, as a flood of those must not cost clients theirs.
-            idle = [c for c in self.connections if c.idle and c is not connection]
-            spare = next((c for c in idle if c.owes_since is not None), idle[0] if idle else connection)
-            if spare.transport is not None:
-                spare.transport.close()
+        most, most_young = self.most, self.most_young
+        if self.live > most - most_young and len(self.young) > most_young:
+            self.evict_young(connection)
+        if self.live > most and not self.make_room(1, connection):
+            self.evict(connection, Evicted.CROWDED)  # out of descriptors nothing works any more
+
+    def prove(self, connection: ClientConnection, command: Command) -> bool:
+        """Whether a connection's first proper request gets it a place. Raises ValueError if it is none."""
+        self.handler.check(command)
+        self.resize()
+        if not self.shares.admits(connection.peer):
+            if not self.evict_idle(self.shares.held.get(connection.peer, 0)):
+                return False
+        del self.young[connection]
+        connection.proven = True
+        self.shares.take(connection.peer)
+        self.proven.setdefault(connection.peer, {})[connection] = None
+        return True
+
+    def make_room(self, wanted: int, newcomer: ClientConnection | None = None) -> int:
+        """Close up to so many connections that nobody uses; gives how many."""
+        made = 0
+        while made < wanted and (self.evict_young(newcomer) or self.evict_idle()):
+            made += 1
+        return made
+
+    def evict_young(self, newcomer: ClientConnection | None = None) -> bool:
+        spare = next((c for c in self.young if c.idle and c is not newcomer), None)
+        if spare is not None:
+            self.evict(spare, Evicted.YOUNG)
+        return spare is not None
+
+    def evict_idle(self, least: int = 0) -> bool:
+        """Close the longest idle connection of the peer that holds most, of those that hold an idle one.
+
+        A peer with fewer than `least` connections gives none up for one that holds so many.
+        """
+        for held in sorted(self.proven.values(), key=len, reverse=True):
+            if len(held) < least:
+                break
+            if (spare := next((c for c in held if c.idle), None)) is not None:
+                self.evict(spare, Evicted.IDLE)
+                return True
+        return False
+
+    def evict(self, connection: ClientConnection, reason: Evicted) -> None:
+        self.figures.evicted[reason] += 1
+        self.forget(connection)
+        if connection.transport is not None:
+            connection.closing = True
+            (connection.transport.abort if reason is Evicted.UNREAD else connection.transport.close)()
 
     def used(self, connection: ClientConnection) -> None:
-        self.connections.pop(connection, None)
-        self.connections[connection] = None
+        if (held := self.proven.get(connection.peer)) and held.pop(connection, True) is None:
+            held[connection] = None
+
+    def forget(self, connection: ClientConnection) -> None:
+        """Its place is free; its descriptor is once the transport has closed it."""
+        self.young.pop(connection, None)
+        if (held := self.proven.get(connection.peer)) and held.pop(connection, True) is None:
+            self.shares.give_back(connection.peer)
+            if not held:
+                del self.proven[connection.peer]
 
     def closed(self, connection: ClientConnection) -> None:
-        self.connections.pop(connection, None)
+        self.forget(connection)
+        self.budget.free(Part.CLIENTS)
+        self.connections.discard(connection)
         if not self.connections:
             self.empty.set()
 
+    def gauges(self) -> dict[str, int]:
+        in_use = sum(not c.idle for held in self.proven.values() for c in held)
+        return {
+            "clients.young": len(self.young),
+            "clients.in_use": in_use,
+            "clients.idle": self.shares.total - in_use,
+        }
+
     def leave(self, notice: float) -> None:
         """Send clients away: PING says no from now on, and after `notice` seconds connections are closed.
 
--- a/roadpulley/config.py
+++ b/roadpulley/config.py
@@ -4,7 +4,7 @@
 
 import json
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any
@@ -12,9 +12,13 @@
 from mintford import interface as api
 from mintford.wirehost import read_settings
 
+from .descriptors import Shares
+
 Address = tuple[str, int]
 MEGABYTE = 1024 * 1024
 HIGHEST_PORT = 65_535
+LEAST_SHARE = 0.05  # of the descriptors, or of the clients' part; and as much is left to the rest
+MOST_CONNECTS = 64  # handshakes under way to one backend that may be allowed
 OPERATOR = "LB_OPERATOR"  # goes before the file: each process of an upgrade has an address of its own
 
 
@@ -36,6 +40,7 @@
     connect_timeout: float  # milliseconds, as all times here
     keepalive: float
     max_open: int
+    shares: Shares  # of the descriptors
     known: dict[str, Any]  # the list of backends as this gateway last had it, in discovery's form
 
 
@@ -47,6 +52,28 @@
     return str(IPv4Address(host)), int(port)
 
 
+def parse_shares(given: Any) -> Shares:
+    """The optional table `connections`; what it does not name stays as it is by default."""
+    if given is None:
+        return Shares()
+    if not isinstance(given, dict):
+        raise ValueError("connections: not a table")
+    names = {field.name for field in fields(Shares)}
+    if unknown := sorted(given.keys() - names):
+        raise ValueError(f"connections: unknown name {unknown[0]!r}")
+    for name, value in given.items():
+        if name == "connects":
+            good = type(value) is int and 1 <= value <= MOST_CONNECTS
+        else:
+            good = type(value) in (int, float) and LEAST_SHARE <= value <= 1 - LEAST_SHARE
+        if not good:
+            raise ValueError(f"connections: {name} can't be {value!r}")
+    shares = Shares(**given)
+    if shares.clients + shares.backends > 1 - LEAST_SHARE:
+        raise ValueError("connections: clients and backends leave too little for the rest")
+    return shares
+
+
 def parse_config(raw: dict[str, Any]) -> Config:
     try:
         settings = raw["settings"]
@@ -65,6 +92,7 @@
             connect_timeout=float(caps.get("connectTimeout") or 250),
             keepalive=float(caps.get("keepalive") or 15_000),
             max_open=int(caps.get("maxOpen") or 10_000),
+            shares=parse_shares(raw.get("connections")),
             known=raw.get("known") or {},
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
--- a/roadpulley/counter.py
+++ b/roadpulley/counter.py
@@ -15,6 +15,7 @@
 
 from .clock import Timer, Timers, now_ms
 from .config import Address
+from .descriptors import Budget, Part
 from .idle import AT_ONCE_MS, IdleTimes
 
 log = logging.getLogger(__name__)
@@ -49,7 +50,8 @@
 class CounterConnection(asyncio.Protocol):
     """Calls written one behind another; the oldest unanswered one gets the next answer, however late."""
 
-    def __init__(self, idle_times: IdleTimes) -> None:
+    def __init__(self, idle_times: IdleTimes, budget: Budget) -> None:
+        self.budget = budget
         self.transport: asyncio.Transport | None = None
         self.owed: deque[Call] = deque()
         self.rest = b""
@@ -59,6 +61,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        self.budget.take(Part.COUNTER)
 
     def write(self, calls: list[Call]) -> None:
         assert self.transport is not None
@@ -101,6 +104,7 @@
             self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
+        self.budget.free(Part.COUNTER)
         if self.owed and not self.closed:
             self._note(reset=now_ms() - self.used_at < AT_ONCE_MS)
         self.closed = True
@@ -151,7 +155,9 @@
             if lost or not (connection.owed or self.counter.idle_times.allows(now, connection.idle(now))):
                 connection.drop("silent" if lost else "")
         if connection is None or connection.closed:
-            if self.connecting is None:
+            if not self.counter.budget.may(Part.COUNTER):
+                self.fail(Outcome.CONNECT)
+            elif self.connecting is None:
                 self.connecting = self.counter.loop.create_task(self.connect())
         elif len(connection.owed) >= MOST_OWED:
             self.fail(Outcome.FULL)
@@ -163,13 +169,14 @@
         address = self.counter.address
         try:
             async with asyncio.timeout(self.counter.wait / 1000):
-                make = partial(CounterConnection, self.counter.idle_times)
+                make = partial(CounterConnection, self.counter.idle_times, self.counter.budget)
                 _, made = await self.counter.loop.create_connection(make, *address)
             if address == self.counter.address:
                 self.connection = made
             else:
                 made.drop()  # the counter moved meanwhile
-        except OSError:  # time-outs are among these
+        except OSError as error:  # time-outs are among these
+            self.counter.budget.relieve(error)
             self.fail(Outcome.CONNECT)
         finally:
             self.connecting = None
@@ -190,9 +197,15 @@
 
 class Counter:
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, timers: Timers, address: Address, wait: float
+        self,
+        loop: asyncio.AbstractEventLoop,
+        timers: Timers,
+        address: Address,
+        wait: float,
+        budget: Budget,
     ) -> None:
         self.loop, self.timers, self.address, self.wait = loop, timers, address, wait * PATIENCE
+        self.budget = budget
         self.idle_times = IdleTimes(RETIRE_MS)
         self.lanes = [Lane(self) for _ in range(CONNECTIONS)]
 
--- a/roadpulley/discovery.py
+++ b/roadpulley/discovery.py
@@ -17,6 +17,7 @@
 from mintford.interface import BackendEntry, BackendState, ListScope
 
 from .config import Address, parse_address
+from .descriptors import Budget, Part
 
 log = logging.getLogger(__name__)
 
@@ -93,9 +94,11 @@
         version: int | None,
         listener: Listener,
         chance: random.Random,
+        budget: Budget,
         apart: float = 0.0,
     ) -> None:
         self.address, self.version, self.listener, self.chance = address, version, listener, chance
+        self.budget = budget
         self.apart = apart  # seconds that the fleet's asks are spread over; 0: an ask costs nobody anything
         self.wait, self.moved = BACKOFF_S[0], False  # moved: the platform expects its news to be taken soon
         self.first_wait = chance.uniform(0, apart) if version is not None else 0.0
@@ -121,6 +124,8 @@
                         self._take(line)
                 reason = "ended"
             except (OSError, h11.ProtocolError, DiscoveryError) as error:  # time-outs are among these
+                if isinstance(error, OSError):
+                    self.budget.relieve(error)
                 reason = " ".join(str(error).split()) or type(error).__name__
             except Exception:
                 # Without a watch the list goes stale and drains are missed, so it goes on whatever came.
@@ -160,6 +165,7 @@
         async with asyncio.timeout(CONNECT_S):
             reader, writer = await asyncio.open_connection(host, port)
         self.writer = writer
+        self.budget.take(Part.DISCOVERY)
         try:
             if (host, port) != self.address:
                 return  # it moved meanwhile
@@ -190,5 +196,6 @@
                     return
         finally:
             writer.close()
+            self.budget.free(Part.DISCOVERY)
             if self.writer is writer:  # a watch that ended in a fault may be closed after the next began
                 self.writer = None
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -12,11 +12,13 @@
 
 from mintford import Gateway
 from mintford import interface as api
+from mintford.shares import PRESSED, FairShares
 
 from .backends import Attempt, Backends
 from .clients import Command, Slot, bulk
 from .clock import Timer, Timers, now_ms
 from .counter import Counter
+from .descriptors import Part
 from .discovery import Member, host_number
 from .figures import Ended, Figures
 from .streams import Passing, Room
@@ -24,7 +26,8 @@
 log = logging.getLogger(__name__)
 
 FAILED = b"-ERR failed\r\n"
-FULL_MS = 200  # after which a client may come again when too many requests are open
+FULL_MS = 200  # after which a client may come again when all places for requests are taken
+OPEN_PER_CONNECTION = 2  # requests open for each backend connection that there may be: one more waits for it
 REPORT_MS = 10_000.0  # one line for all requests of that time
 MOST_TOLD = 1_024  # backends that are remembered by their numbers
 LONGEST_WAIT_MS = 60_000.0  # that a client can ask for; the longest deadlines are well under it
@@ -65,6 +68,7 @@
         room: Room,
         tell: Callable[[list[Any]], None],
     ) -> None:
+        self.shares = FairShares(max_open)  # of requests open at once, among customers
         self.gateway, self.settings = Gateway(settings, seed), settings
         self.timers, self.backends, self.counter, self.max_open = timers, backends, counter, max_open
         self.figures, self.room, self.tell = figures, room, tell
@@ -75,6 +79,7 @@
         self.events: deque[api.Event] = deque()
         self.busy = False
         self.told: dict[int, None] = {}  # backends that a list has named, the earliest first
+        self.states: Callable[[], dict[str, int]] = dict  # of connections, for the report
         self.seen: Counts[str] = Counts()  # since the last report: what came, and what became of it
         self.timers.at(now_ms() + REPORT_MS, self.report)
 
@@ -82,7 +87,8 @@
         """Tell what became of the requests, the attempts and the calls to the counter, and why."""
         if self.seen:
             told = ", ".join(f"{what} {number}" for what, number in sorted(self.seen.items()))
-            log.info("last %d s: %s", REPORT_MS / 1000, told)
+            now = ", ".join(f"{what} {number}" for what, number in self.states().items() if number)
+            log.info("last %d s: %s; now: %s", REPORT_MS / 1000, told, now)
             self.seen.clear()
         self.timers.at(now_ms() + REPORT_MS, self.report)
 
@@ -146,14 +152,29 @@
         if command.id in self.requests:
             raise ValueError("id in use")
         event = self.read(command)
-        if len(self.requests) >= self.max_open:
-            self.figures.ended(event.request_class, Ended.DECLINED)
-            return slot.answer(b"-BUSY %d\r\n" % FULL_MS)
+        self.shares.most = min(self.max_open, OPEN_PER_CONNECTION * self.backends.budget.most(Part.BACKENDS))
+        self.shares.pressed_at = int(self.shares.most * PRESSED)
+        if not self.shares.admits(event.customer):
+            return self.crowd(event.request_class, slot)
         self.seen["requests taken"] += 1
+        self.shares.take(event.customer)
         owner = self.requests[command.id] = Request(command, slot, event.request_class, event.expires)
         owner.timer = self.timers.at(owner.expires, partial(self.on_expired, owner))
         self.give(event)
 
+    def check(self, command: Command) -> None:
+        self.read(command)
+
+    def on_crowded(self, command: Command, slot: Slot) -> None:
+        self.crowd(self.read(command).request_class, slot)
+
+    def crowd(self, kind: str, slot: Slot) -> None:
+        """Refuse a request before the module is told of it."""
+        self.figures.ended(kind, Ended.DECLINED)
+        self.figures.crowded += 1
+        self.seen["refused for room"] += 1
+        slot.answer(b"-BUSY %d\r\n" % FULL_MS)
+
     def read(self, command: Command) -> api.RequestArrived:
         """A request that the settings know the class and the plan of; a backend may run nothing else.
 
@@ -215,7 +236,7 @@
             self.give(api.RequestLapsed(request))
 
     def on_client_gone(self, request: str) -> None:
-        owner = self.requests.pop(request, None)
+        owner = self.leave(request)
         if owner is None:
             return
         self.figures.ended(owner.kind, Ended.ABORTED)
@@ -272,7 +293,7 @@
         return value
 
     def on_passed(self, owner: Request) -> None:
-        if self.requests.pop(owner.command.id, None) is not None:
+        if self.leave(owner.command.id) is not None:
             self.figures.ended(owner.kind, Ended.SUCCEEDED)
         if owner.value is not None:
             owner.value.drop()
@@ -335,7 +356,7 @@
 
     def finish(self, request: str, reply: bytes, ended: Ended) -> None:
         """Give the one final answer; a second one is not sent."""
-        if owner := self.requests.pop(request, None):
+        if owner := self.leave(request):
             self.figures.ended(owner.kind, ended)
             if owner.value is not None:  # begun, and not to be finished
                 owner.slot.cut(reply)
@@ -345,6 +366,13 @@
             self.leave_body(owner)
             self.settle(owner)
 
+    def leave(self, request: str) -> Request | None:
+        """A request has ended: its place is free."""
+        owner = self.requests.pop(request, None)
+        if owner is not None:
+            self.shares.give_back(owner.command.customer)
+        return owner
+
     def leave_body(self, owner: Request) -> None:
         """Nobody needs the rest of a request's long value: nor can an attempt be finished without it."""
         body = owner.command.stream
--- a/roadpulley/figures.py
+++ b/roadpulley/figures.py
@@ -16,12 +16,27 @@
     ABORTED = "aborted"
 
 
+class Evicted(Enum):
+    """Why a client's connection was closed here, by the figures' names."""
+
+    YOUNG = "young"  # places are few, and it has sent no proper request
+    IDLE = "idle"  # places are few, and nothing is open on it
+    CROWDED = "crowded"  # a newcomer, where nobody can give way
+    OWING = "owing"  # it left a command hanging
+    UNREAD = "unread"  # it left answers unread
+    UNUSED = "unused"  # of no use for a minute
+    PARTING = "parting"  # idle on a drain
+
+
 class Figures:
     """Owns the counts; every class that the settings name is shown from the start."""
 
     def __init__(self, classes: Sequence[str]) -> None:
         self.requests = {(ended, name): 0 for ended in Ended for name in classes}
         self.forwards = 0
+        self.evicted = dict.fromkeys(Evicted, 0)
+        self.begun = self.failed = self.waited = 0  # handshakes with backends; attempts that waited for one
+        self.crowded = 0  # requests refused as all places for requests, or connections, were taken
 
     def ended(self, name: str, ended: Ended) -> None:
         self.requests[ended, name] += 1
@@ -30,8 +45,15 @@
         """An attempt's last byte has left for its backend."""
         self.forwards += 1
 
+    def connections(self) -> dict[str, int]:
+        """What became of connections, since the start."""
+        counts = {f"evicted.{reason.value}": n for reason, n in self.evicted.items()}
+        counts |= {"handshakes.begun": self.begun, "handshakes.failed": self.failed}
+        return counts | {"handshakes.waited": self.waited, "crowded": self.crowded}
+
     def text(self, gauges: dict[str, int]) -> str:
         lines = [f"{PREFIX}.{ended.value}.{name}:{n}|c" for (ended, name), n in self.requests.items()]
         lines.append(f"{PREFIX}.forwards:{self.forwards}|c")
+        lines += [f"{PREFIX}.{name}:{n}|c" for name, n in self.connections().items()]
         lines += [f"{PREFIX}.{name}:{value}|g" for name, value in gauges.items()]
         return "\n".join(lines) + "\n"
--- a/roadpulley/operators.py
+++ b/roadpulley/operators.py
@@ -12,6 +12,7 @@
 
 from .accept import Acceptor, listening
 from .config import Address
+from .descriptors import Budget, Part
 
 log = logging.getLogger(__name__)
 
@@ -83,7 +84,7 @@
         self.transport = None
         if self.timer is not None:
             self.timer.cancel()
-        self.server.connections.pop(self, None)
+        self.server.closed(self)
 
     def data_received(self, data: bytes) -> None:
         if self.http.our_state is not h11.IDLE and self.http.our_state is not h11.SEND_RESPONSE:
@@ -145,17 +146,20 @@
 class OperatorServer:
     """Listens for operators, and bounds what stalled callers hold."""
 
-    def __init__(self, calls: Calls) -> None:
-        self.calls = calls
+    def __init__(self, calls: Calls, budget: Budget) -> None:
+        self.calls, self.budget = calls, budget
         self.connections: dict[OperatorConnection, None] = {}  # the oldest first
         self.acceptor: Acceptor | None = None
 
     def listen(self, address: Address) -> int:
         """Start to accept; gives the port."""
-        self.acceptor = Acceptor(listening(address, BACKLOG), lambda: OperatorConnection(self))
+        made = listening(address, BACKLOG)
+        self.budget.keep_spare()
+        self.acceptor = Acceptor(made, lambda: OperatorConnection(self), self.budget, first=True)
         return self.acceptor.port
 
     def opened(self, connection: OperatorConnection) -> None:
+        self.budget.take(Part.OPERATORS)
         self.connections[connection] = None
         if len(self.connections) > MOST_CONNECTIONS:
             oldest = next(iter(self.connections))
@@ -163,6 +167,10 @@
             if oldest.transport is not None:
                 oldest.transport.abort()
 
+    def closed(self, connection: OperatorConnection) -> None:
+        self.budget.free(Part.OPERATORS)
+        self.connections.pop(connection, None)
+
     def close(self) -> None:
         if self.acceptor is not None:
             self.acceptor.close()
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -19,6 +19,7 @@
 from .clock import Timers
 from .config import Config
 from .counter import Counter
+from .descriptors import Budget
 from .discovery import Discovery, asks_apart, read_list
 from .driver import Driver
 from .figures import Figures
@@ -27,14 +28,11 @@
 
 log = logging.getLogger(__name__)
 
-CLIENT_SHARE, BACKEND_SHARE = 0.5, 0.25  # of the descriptors; the rest is the operators' and headroom
 NOTICE_S = 0.45  # on a drain, connections go on coming for this long: the front asks and notices
 LAST_ANSWER_S = 3.4  # after SIGTERM: what is open then is failed, before SIGKILL would lose it
 CLOSING_S = 0.1
 NEWS_S = 0.25  # for discovery's first word before clients are taken; it says nothing if nothing changed
 HOLDS_S = 0.05  # between two tellings of the descriptors that are held
-OWN_DESCRIPTORS = 40  # of a process without clients: operators, the counter, discovery, the program's own
-LEAST_CONNECTIONS = 8  # of clients and of backends, whatever the other process holds
 YES = Said(200, "yes\n")
 
 
@@ -47,18 +45,21 @@
         self.timers = Timers(self.loop)
         self.figures = Figures([kind.name for kind in config.settings.classes])
         self.room = Room(config.memory)
+        self.budget = Budget(config.sockets, config.shares)
         self.backends = Backends(
             self.loop,
             self.timers,
             config.connect_timeout,
             config.keepalive,
             config.settings.rules.drain_grace,
-            int(config.sockets * BACKEND_SHARE),
-            self.figures.forwarded,
+            self.budget,
+            self.figures,
             self.room,
         )
         wait = config.settings.count_wait
-        self.counter = Counter(self.loop, self.timers, config.counter, wait) if config.counter else None
+        self.counter = (
+            Counter(self.loop, self.timers, config.counter, wait, self.budget) if config.counter else None
+        )
         self.driver = Driver(
             config.settings,
             config.seed,
@@ -77,10 +78,12 @@
             self.driver.members(api.ListScope.SAVED, known.members)
         apart = asks_apart(config.settings.gateways) if config.settings.must_ask_for_list else 0.0
         chance = random.Random(config.seed)
-        self.discovery = Discovery(config.discovery, version, self.driver.members, chance, apart)
+        self.discovery = Discovery(
+            config.discovery, version, self.driver.members, chance, self.budget, apart
+        )
         self.bans = Bans(private_file(config.name, "bans.json"), self.timers, self.driver.hold)
-        self.clients = ClientServer(self.driver, int(config.sockets * CLIENT_SHARE), self.room)
-        self.operators = OperatorServer(self.calls())
+        self.clients = ClientServer(self.driver, self.budget, self.room, self.figures)
+        self.operators = OperatorServer(self.calls(), self.budget)
         self.beside = Beside(
             private_file(config.name, "beside.sock"),
             came=partial(self.driver.give, api.BesideCame()),
@@ -90,6 +93,7 @@
             holds=self.share,
         )
         self.emptying: asyncio.Task[None] | None = None  # until nothing is left of a hand-over
+        self.driver.states = self.states
 
     # ---- what operators call ----
 
@@ -107,7 +111,15 @@
         return YES if self.clients.takes_clients else Said(503, "no\n")
 
     def stats(self) -> Said:
-        return Said(200, self.figures.text(self.driver.gauges()))
+        return Said(200, self.figures.text(self.driver.gauges() | self.connections()))
+
+    def connections(self) -> dict[str, int]:
+        """The connections by state, and what is held of the descriptors."""
+        return self.clients.gauges() | self.backends.gauges() | self.budget.gauges()
+
+    def states(self) -> dict[str, int]:
+        """For the log: the connections now, and what became of others since the start."""
+        return self.connections() | self.figures.connections()
 
     def hold(self, out: bool, host: str) -> Said:
         if not (self.driver.knows(host) or host in self.bans.out):
@@ -166,14 +178,14 @@
         """The new process takes clients: what is open here ends, and then this process does."""
         log.info("another process takes the clients")
         self.clients.hand_over()
+        self.budget.hand_over()
         if self.emptying is None:
             self.emptying = self.loop.create_task(self.empty())
 
     async def empty(self) -> None:
         """Tell how many descriptors are held, until nothing is left to do here."""
         while self.clients.holds_clients or self.driver.requests:
-            held = len(self.clients.connections) + len(self.backends.connections) + OWN_DESCRIPTORS
-            self.beside.tell([HOLDS, held])
+            self.beside.tell([HOLDS, self.budget.total])
             await asyncio.sleep(HOLDS_S)
         self.stop.set()
 
@@ -183,18 +195,18 @@
         if self.emptying is not None:
             self.emptying.cancel()
             self.emptying = None
+            self.budget.take_back()
             self.clients.take_back()
 
     def share(self, held: int) -> None:
         """Both processes hold their descriptors together."""
-        left = max(0, self.config.sockets - held)
-        self.clients.most = max(LEAST_CONNECTIONS, int(left * CLIENT_SHARE))
-        self.backends.most = max(LEAST_CONNECTIONS, int(left * BACKEND_SHARE))
+        self.budget.beside = max(0, held)
 
     async def follow(self, changes: asyncio.Queue[Config]) -> None:
-        """Take over what may change while a gateway runs: the addresses of discovery and of the counter."""
+        """Take over what may change while a gateway runs: addresses of discovery and counter, connections."""
         while True:
             config = await changes.get()
+            self.budget.configured, self.budget.shares = config.sockets, config.shares
             self.discovery.move(config.discovery)
             if self.counter is not None and config.counter is not None:
                 self.counter.move(config.counter)
@@ -224,3 +236,4 @@
         self.backends.close()
         if self.counter is not None:
             self.counter.close()
+        self.budget.close()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -86,6 +86,37 @@
         self.writer.close()
 
 
+class Wire(asyncio.Transport):
+    """A transport without a socket, which remembers how it was ended."""
+
+    def __init__(self, peer: str = LOCAL) -> None:
+        super().__init__({"peername": (peer, 1)})
+        self.ended = ""
+        self.left = 0  # bytes that the peer has yet to take
+        self.wrote: list[bytes] = []
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None: ...
+
+    def get_write_buffer_size(self) -> int:
+        return self.left
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.wrote.append(bytes(data))
+
+    def pause_reading(self) -> None: ...
+
+    def resume_reading(self) -> None: ...
+
+    def is_closing(self) -> bool:
+        return bool(self.ended)
+
+    def abort(self) -> None:
+        self.ended = "abort"
+
+    def close(self) -> None:
+        self.ended = "close"
+
+
 class Server:
     """Listens on a port of its own and hands every connection to `talk`."""
 
