--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -128,6 +128,7 @@
             self.bans.set(host, out)
         except OSError as error:
             log.error("the list of backends out by hand can't be written: %s", error)
+            self.budget.relieve(error)
             return Said(503, "it could not be kept\n")
         return YES
 
