Zones: pooled evidence, leaving, slow return, nearness, regions and operators' calls

Need (issue on zones): the module knew each backend's zone and chose without it; a lost zone was learned backend by backend, by every gateway alone.

mintford/zones.py owns the state of each zone. Outcomes of its backends, silence included, are pooled; the worst one is left out and what was well before the failures began does not count against them, so three failing backends speak for the rest and one condemns nothing. A left zone gets one repeatable request in 1 to 3 s of each gateway; it returns by a ramp over half to all of a cold backend's time, by each gateway's lot, longer if it flaps. Where all fails alike nothing is left out; a gateway that only its own zone answers keeps to it. Nearness follows the price of crossing and the own zone's size. Slices cover each zone. POST /ops/zones/down and /up, regions in the configuration, figures by zone, a log line for each change.

--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -104,6 +104,8 @@
     max_retry_after: float = 0.0
     count_wait: float = 0.0
     most_units: float = 1.0
+    cross_zone: float = 0.0  # the price of attempts that cross zones
+    regions: tuple[tuple[str, str], ...] = ()  # zone and its region; none: all zones are of one region
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +132,22 @@
     since: float
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneHeld:
+    """An operator took a zone out, or put it back, at a time."""
+
+    zone: str
+    out: bool
+    since: float
+
+
+@dataclass(frozen=True, slots=True)
+class RegionsChanged:
+    """Another table of zones and their regions holds from now on."""
+
+    regions: tuple[tuple[str, str], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     request: str
@@ -230,6 +248,8 @@
 Event = (
     BackendsChanged
     | BackendHeld
+    | ZoneHeld
+    | RegionsChanged
     | RequestArrived
     | AttemptEnded
     | AnswerBegan
@@ -304,5 +324,12 @@
     said: list[Any]
 
 
-Action = Send | Cancel | Refuse | Fail | SetTimer | Count | FollowList | Tell
+@dataclass(frozen=True, slots=True)
+class Remark:
+    """A line for the log."""
+
+    text: str
+
+
+Action = Send | Cancel | Refuse | Fail | SetTimer | Count | FollowList | Tell | Remark
 Actions = list[Action]
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from . import interface as api
+from .zones import Zones
 
 OWED_MS = 1_500.0  # a backend put back gets a request after so long at the latest, as it may be worth using
 LEASE_MS = 15_000.0  # the design's lease
@@ -149,6 +150,7 @@
         self.held: set[int] = set()  # backends that operators took out
         self.returned: dict[int, float] = {}  # backends that they put back lately, and when
         self.subset: list[Backend] = []  # the backends that this gateway uses
+        self.zones = Zones(settings, self.random)
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, the oldest first
         self.created = -1.0  # the time of the first event
@@ -164,6 +166,7 @@
             api.BesideCame: self.on_beside_came, api.BesideSaid: self.on_beside_said,
             api.BesideLeft: self.on_beside_left,
             api.BackendsChanged: self.on_list, api.BackendHeld: self.on_held,
+            api.ZoneHeld: self.on_zone_held, api.RegionsChanged: self.on_regions,
             api.RequestLapsed: lambda _, event, __: self.requests.pop(event.request, None),
         }  # peers' messages and begun answers change no decision
 
@@ -175,6 +178,9 @@
                 out.append(api.FollowList())
         if handler := self.handlers.get(type(event)):
             handler(now, event, out)
+        if self.zones.told:
+            out.extend(api.Remark(text) for text in self.zones.told)
+            self.zones.told.clear()
         return out
 
     # ---- leases and buckets ----
@@ -453,13 +459,15 @@
         for entry in event.entries:
             if entry.state is api.BackendState.GONE:
                 self.backends.pop(entry.backend, None)
-            elif entry.backend in self.backends:
-                self.backends[entry.backend].update(entry)
+            elif b := self.backends.get(entry.backend):
+                if entry.started != b.started:
+                    self.zones.forget(b.id, b.zone)
+                b.update(entry)
             else:
                 b = self.backends[entry.backend] = Backend(entry, self.settings.rules)
                 if entry.backend in self.returned:
                     b.put_back(self.returned[entry.backend])
-        self.regroup()
+        self.regroup(now)
 
     def on_held(self, now: float, event: api.BackendHeld, _: api.Actions) -> None:
         """Operators' word goes before the list's, and lasts until they take it back."""
@@ -473,14 +481,27 @@
             self.returned[event.backend] = event.since
             if b := self.backends.get(event.backend):
                 b.put_back(event.since)
-        self.regroup()
+        self.regroup(now)
+
+    def on_zone_held(self, now: float, event: api.ZoneHeld, _: api.Actions) -> None:
+        """As for a backend: operators' word goes before the list's, and what is put back counts as cold."""
+        self.zones.hold(now, event.zone, event.out)
+        for b in self.backends.values():
+            if b.zone == event.zone and not event.out:
+                self.returned[b.id] = event.since
+                b.put_back(event.since)
+        self.regroup(now)
+
+    def on_regions(self, now: float, event: api.RegionsChanged, _: api.Actions) -> None:
+        self.zones.regions = dict(event.regions)
 
-    def regroup(self) -> None:
+    def regroup(self, now: float) -> None:
         self.floor = FLOOR_OUT * len(self.backends) / max(1, self.settings.gateways)
+        self.zones.regroup(now, [(b.id, b.zone, self.usable(b)) for b in self.backends.values()])
         self.subset = self.choose_subset([b for b in self.backends.values() if self.usable(b)])
 
     def usable(self, b: Backend) -> bool:
-        return b.ready and b.id not in self.held
+        return b.ready and self.allowed(b)
 
     def choose_subset(self, ready: list[Backend]) -> list[Backend]:
         """Few enough backends to meet each often and judge it; all of them in a small fleet.
@@ -493,14 +514,31 @@
             turn, place = divmod(self.settings.index, slices)
             mine = [b for b in ready if slice_of(turn, b.id, slices) == place]
             if len(mine) >= SUBSET / 2:
-                return mine
+                return mine + self.uncovered(ready, mine) if self.zones.several else mine
         return ready
 
+    def uncovered(self, ready: list[Backend], mine: list[Backend]) -> list[Backend]:
+        """A backend of each zone that a slice has none of, so that a lost zone leaves it the others.
+
+        The first by a hash of its own for each gateway: a change of the list moves one such backend at most.
+        """
+        covered, first = {b.zone for b in mine}, dict[str, tuple[int, Backend]]()
+        for b in ready:
+            if b.zone not in covered:
+                place = slice_of(self.settings.index, b.id, 2**64)
+                if b.zone not in first or place < first[b.zone][0]:
+                    first[b.zone] = place, b
+        return [b for _, b in first.values()]
+
     def mark(self, now: float, b: Backend, name: str) -> float:
-        """A mark as far as it has not faded; a backend that is met seldom is remembered longer."""
+        """A mark as far as it has not faded."""
         level, at = b.marks.get(name, (0.0, now))
+        return level * math.exp((at - now) / self.memory())
+
+    def memory(self) -> float:
+        """The time in which a mark fades to a third; a backend that is met seldom is remembered longer."""
         gap = len(self.subset) * 1000 / max(self.rate, 0.1)
-        return level * math.exp((at - now) / max(MARK_MS, min(LEASE_MS, MARK_MEETINGS * gap)))
+        return max(MARK_MS, min(LEASE_MS, MARK_MEETINGS * gap))
 
     def failing(self, now: float, b: Backend, request: Request) -> float:
         """How likely it fails this request: one class or plan may fare ill where the others are served.
@@ -518,10 +556,14 @@
         """How many of the listed backends are avoided, for the operators' figures."""
         marks = "all", "shut"
         return sum(
-            b.id in self.held or max(self.mark(now, b, name) for name in marks) >= EJECTED
+            not self.allowed(b) or max(self.mark(now, b, name) for name in marks) >= EJECTED
             for b in self.backends.values()
         )
 
+    def allowed(self, b: Backend) -> bool:
+        """Whether operators let work go there."""
+        return b.id not in self.held and b.zone not in self.zones.held
+
     def cost(self, now: float, b: Backend, request: Request) -> float:
         """What an answer from this backend should take, judged by answers, failures and silence alike."""
         latency = max(1.0, self.typical + self.mark(now, b, "slow"))
@@ -537,6 +579,11 @@
         """
         may = [b for b in self.subset if self.may_go(now, request, b)]
         may = may or [b for b in self.backends.values() if self.usable(b) and self.may_go(now, request, b)]
+        factors: dict[str, float] = {}
+        if self.zones.several:
+            if (tested := self.test_of_zone(now, request)) is not None:
+                return tested
+            may, factors = self.open_to(now, request, may), self.zones.factors(now)
         warm = [b for b in may if b.warmth(now) >= 1]
         if len(warm) < len(may):
             if owed := [b for b in may if b.owed_at <= now and b.warmth(now) < 1]:
@@ -546,13 +593,43 @@
             part = b.warmth(now) * min(lift, max(1.0, self.settings.rules.fall_multiple / 2))
             if b.warmth(now) < 1 and self.random.random() < part and self.failing(now, b, request) < 0.5:
                 return b
-        costs = [self.cost(now, b, request) * self.random.expovariate(1.0) ** CHANCE for b in warm]
+        costs = [
+            self.cost(now, b, request) * factors.get(b.zone, 1.0) * self.random.expovariate(1.0) ** CHANCE
+            for b in warm
+        ]
         return warm[costs.index(min(costs))] if warm else None
 
+    def open_to(self, now: float, request: Request, may: list[Backend]) -> list[Backend]:
+        """Of the backends that a request may go to, those of zones that are open to it.
+
+        Where there is none among this gateway's own it takes others. What may have run may be repeated only
+        within what its key covers: it goes even to a zone that is left.
+        """
+        self.zones.memory = self.memory()
+        self.zones.look(now)
+        if not (closed := self.zones.closed(now)):
+            return may
+        if kept := [b for b in may if b.zone not in closed]:
+            return kept
+        others = [b for b in self.backends.values() if b.zone not in closed and self.usable(b)]
+        return [b for b in others if self.may_go(now, request, b)] or may
+
+    def test_of_zone(self, now: float, request: Request) -> Backend | None:
+        """A zone that is left gets a request now and then, one that may be repeated, to see if it answers."""
+        name = self.zones.to_test(now)
+        if name is None or request.attempts or request.streamed or request.kind.effect is not api.Effect.SAFE:
+            return None
+        may = [b for b in self.backends.values() if b.zone == name and self.usable(b) and b.warmth(now) >= 1]
+        if not may:
+            return None
+        self.zones.tested(now, name)
+        return self.random.choice(may)
+
     # ---- attempts and retries ----
 
     def send(self, now: float, request: Request, b: Backend, out: api.Actions) -> None:
         b.out, b.owed_at = b.out + 1, math.inf
+        self.zones.sent(now, b.zone)
         request.customer.out += 1
         if request.customer.plan.open_limit:
             self.tell(request.customer, out, open=1)
@@ -609,6 +686,10 @@
         if not request.attempts:
             return self.admit(now, request, out)  # the counter is silent
         self.watch(now, request, math.inf, out)
+        for number in request.live:  # silence tells of a zone before the attempt has ended
+            silent = self.attempts[request.id, number]
+            if now - silent.sent_at >= self.patience(now, silent) - 1:
+                self.zones.note(now, silent.backend.id, silent.backend.zone, lost=True, ended=False)
         # An attempt out far longer than usual is doubled, or called off and its outcome brings the next.
         if len(request.live) == 1 and not request.streamed and request.kind.effect is not api.Effect.UNSAFE:
             if self.settings.may_duplicate:
@@ -666,6 +747,8 @@
             self.answered_at = now
         if outcome not in CALLED_OFF or overdue:  # a client that left early says nothing of the backend
             shut = outcome in NEVER_RAN and outcome is not api.Outcome.IGNORED
+            if outcome not in (api.Outcome.IGNORED, api.Outcome.FULL):  # a full one is there, and busy
+                self.zones.note(now, b.id, b.zone, lost=not ok)
             for name in ("shut",) if shut else ("shut", *attempt.request.marks):
                 bad = shut or (name != "shut" and not ok and outcome is not api.Outcome.IGNORED)
                 level = self.mark(now, b, name)
--- a/mintford/wirehost.py
+++ b/mintford/wirehost.py
@@ -37,6 +37,7 @@
         max_retry_after=float(caps.get("maxRetryAfter") or 0),
         count_wait=float(info.get("countWait") or 0),
         most_units=float(info.get("unitsTop") or 1),
+        cross_zone=float((raw.get("prices") or {}).get("crossZone") or 0),
     )
 
 
@@ -162,6 +163,8 @@
             return ["incr", name, expire_in, amount]
         case api.FollowList(enable):
             return ["follow", enable]
+        case api.Remark(text):
+            return ["remark", text]
         case api.Tell():
             raise WireError("an instance has no other process beside it")
 
--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -332,8 +332,8 @@
 class Host:
     """A backend's address, its idle connections and when it was told to drain."""
 
-    def __init__(self, address: Address, held: bool) -> None:
-        self.address, self.held = address, held  # held: taken out by operators
+    def __init__(self, address: Address, zone: str, held: bool) -> None:
+        self.address, self.zone, self.held = address, zone, held  # held: taken out by operators
         self.idle: list[Connection] = []  # the last used at the end
         self.opening: set[Connection] = set()  # handshakes under way
         self.waiting: dict[Attempt, None] = {}  # for a connection, the longest first
@@ -370,22 +370,24 @@
         self.idle_times = IdleTimes(keepalive * IDLE_SHARE)
         self.hosts: dict[int, Host] = {}
         self.held: set[int] = set()  # taken out by operators, whether listed or not
+        self.held_zones: set[str] = set()  # likewise
         self.connections: set[Connection] = set()
         self.unopened: list[OSError] = []  # since the last sweep: one line tells of all
         self.timers.at(now_ms() + SWEEP_MS, self.sweep)
 
     # ---- the list ----
 
-    def update(self, backend: int, address: Address, state: BackendState) -> None:
+    def update(self, backend: int, address: Address, state: BackendState, zone: str = "") -> None:
         if state is not BackendState.READY:
             return self.retire(backend)
         host = self.hosts.get(backend)
         if host is None:
-            host = self.hosts[backend] = Host(address, backend in self.held)
+            host = self.hosts[backend] = Host(address, zone, False)
         if host.address != address:
             self.close_idle(host)
             host.address = address
-        host.cutoff = float("inf")
+        host.cutoff, host.zone = float("inf"), zone
+        self.hold_host(backend, host)
 
     def retire(self, backend: int) -> None:
         if host := self.hosts.get(backend):
@@ -396,9 +398,18 @@
         """Take a backend out or put it back, whatever the list says."""
         (self.held.add if out else self.held.discard)(backend)
         if host := self.hosts.get(backend):
-            host.held = out
-            if out:
-                self.close_idle(host)
+            self.hold_host(backend, host)
+
+    def hold_zone(self, zone: str, out: bool) -> None:
+        """The same for all of a zone."""
+        (self.held_zones.add if out else self.held_zones.discard)(zone)
+        for backend, host in self.hosts.items():
+            self.hold_host(backend, host)
+
+    def hold_host(self, backend: int, host: Host) -> None:
+        host.held = backend in self.held or host.zone in self.held_zones
+        if host.held:
+            self.close_idle(host)
 
     # ---- attempts ----
 
--- a/roadpulley/config.py
+++ b/roadpulley/config.py
@@ -4,7 +4,7 @@
 
 import json
 import os
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any
@@ -74,6 +74,23 @@
     return shares
 
 
+def parse_regions(given: Any) -> tuple[tuple[str, str], ...]:
+    """The optional table `regions`, region to zones, as pairs of zone and region."""
+    if given is None:
+        return ()
+    if not isinstance(given, dict):
+        raise ValueError("regions: not a table")
+    regions: dict[str, str] = {}
+    for region, zones in given.items():
+        if not isinstance(zones, list) or not all(isinstance(zone, str) and zone for zone in zones):
+            raise ValueError(f"regions: {region!r} is no list of zones")
+        for zone in zones:
+            if zone in regions:
+                raise ValueError(f"regions: zone {zone!r} is named twice")
+            regions[zone] = region
+    return tuple(regions.items())
+
+
 def parse_config(raw: dict[str, Any]) -> Config:
     try:
         settings = raw["settings"]
@@ -88,7 +105,7 @@
             seed=int(str(raw.get("seed") or "0"), 16),
             sockets=int((raw.get("limits") or {}).get("sockets") or 1024),
             memory=int((raw.get("limits") or {}).get("memory_mb") or 64) * MEGABYTE,
-            settings=read_settings(settings),
+            settings=replace(read_settings(settings), regions=parse_regions(raw.get("regions"))),
             connect_timeout=float(caps.get("connectTimeout") or 250),
             keepalive=float(caps.get("keepalive") or 15_000),
             max_open=int(caps.get("maxOpen") or 10_000),
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+import re
 from collections import Counter as Counts
 from collections import deque
 from collections.abc import Callable
@@ -29,7 +30,8 @@
 FULL_MS = 200  # after which a client may come again when all places for requests are taken
 OPEN_PER_CONNECTION = 2  # requests open for each backend connection that there may be: one more waits for it
 REPORT_MS = 10_000.0  # one line for all requests of that time
-MOST_TOLD = 1_024  # backends that are remembered by their numbers
+MOST_TOLD = 1_024  # backends that are remembered by their numbers, and zones by their names
+UNFIT, LONGEST_ZONE = re.compile(r"[^A-Za-z0-9_-]"), 64  # in a zone's name, for a figure's; characters
 LONGEST_WAIT_MS = 60_000.0  # that a client can ask for; the longest deadlines are well under it
 LONGEST_BODY_MS = 120_000.0  # for a long value to come in; a client that stalls is left long before
 
@@ -79,6 +81,7 @@
         self.events: deque[api.Event] = deque()
         self.busy = False
         self.told: dict[int, None] = {}  # backends that a list has named, the earliest first
+        self.told_zones: dict[str, None] = {}  # zones likewise
         self.states: Callable[[], dict[str, int]] = dict  # of connections, for the report
         self.seen: Counts[str] = Counts()  # since the last report: what came, and what became of it
         self.timers.at(now_ms() + REPORT_MS, self.report)
@@ -100,6 +103,11 @@
             "ejected": self.gateway.ejected(now_ms()),
         }
 
+    def zones(self) -> dict[str, dict[str, int]]:
+        """The figures of each zone, under a name that can stand in a figure's."""
+        given = self.gateway.zones.figures(now_ms())
+        return {UNFIT.sub("_", zone)[:LONGEST_ZONE] or "_": figures for zone, figures in given.items()}
+
     # ---- events ----
 
     def give(self, event: api.Event) -> None:
@@ -131,23 +139,37 @@
             for backend in set(self.backends.hosts) - listed:
                 self.backends.retire(backend)
         for member in members:
-            self.backends.update(member.entry.backend, member.address, member.entry.state)
+            entry = member.entry
+            self.backends.update(entry.backend, member.address, entry.state, entry.zone)
         self.give(api.BackendsChanged(scope, tuple(m.entry for m in members)))
         for member in members:
-            self.told.pop(member.entry.backend, None)
-            self.told[member.entry.backend] = None  # the last named at the end
-        while len(self.told) > MOST_TOLD:
-            del self.told[next(iter(self.told))]
+            self.remember(self.told, member.entry.backend)
+            self.remember(self.told_zones, member.entry.zone)
+
+    def remember(self, told: dict[Any, None], name: Any) -> None:
+        """The last named are at the end; the earliest are forgotten."""
+        told.pop(name, None)
+        told[name] = None
+        while len(told) > MOST_TOLD:
+            del told[next(iter(told))]
 
     def knows(self, host: str) -> bool:
         return host_number(host) in self.told
 
+    def knows_zone(self, zone: str) -> bool:
+        return zone in self.told_zones
+
     def hold(self, host: str, out: bool, since: float) -> None:
         """Operators took a host out, or put it back."""
         log.info("%s is %s by hand", host, "taken out" if out else "put back")
         self.backends.hold(host_number(host), out)
         self.give(api.BackendHeld(host_number(host), out, since))
 
+    def hold_zone(self, zone: str, out: bool, since: float) -> None:
+        """Operators took a zone out, or put it back."""
+        self.backends.hold_zone(zone, out)
+        self.give(api.ZoneHeld(zone, out, since))
+
     def on_command(self, command: Command, slot: Slot) -> None:
         if command.id in self.requests:
             raise ValueError("id in use")
@@ -328,6 +350,8 @@
                     self.counter.add(name, amount, expire_in, self.on_counted)
             case api.Tell(said):
                 self.tell(said)
+            case api.Remark(text):
+                log.info("%s", text)
             case api.FollowList():
                 pass  # the list is always followed
 
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import random
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -82,6 +83,7 @@
             config.discovery, version, self.driver.members, chance, self.budget, apart
         )
         self.bans = Bans(private_file(config.name, "bans.json"), self.timers, self.driver.hold)
+        self.zones = Bans(private_file(config.name, "zones.json"), self.timers, self.driver.hold_zone)
         self.clients = ClientServer(self.driver, self.budget, self.room, self.figures)
         self.operators = OperatorServer(self.calls(), self.budget)
         self.beside = Beside(
@@ -102,8 +104,10 @@
             gets={"/ops/readiness": self.readiness, "/ops/stats": self.stats},
             posts={"/ops/drain/start": self.drain_start, "/ops/drain/stop": self.drain_stop},
             id_posts={
-                "/ops/backends/down": partial(self.hold, True),
-                "/ops/backends/up": partial(self.hold, False),
+                "/ops/backends/down": partial(self.hold, self.bans, self.driver.knows, True),
+                "/ops/backends/up": partial(self.hold, self.bans, self.driver.knows, False),
+                "/ops/zones/down": partial(self.hold, self.zones, self.driver.knows_zone, True),
+                "/ops/zones/up": partial(self.hold, self.zones, self.driver.knows_zone, False),
             },
         )
 
@@ -111,7 +115,8 @@
         return YES if self.clients.takes_clients else Said(503, "no\n")
 
     def stats(self) -> Said:
-        return Said(200, self.figures.text(self.driver.gauges() | self.connections()))
+        gauges = self.driver.gauges() | self.connections()
+        return Said(200, self.figures.text(gauges, self.driver.zones()))
 
     def connections(self) -> dict[str, int]:
         """The connections by state, and what is held of the descriptors."""
@@ -121,13 +126,14 @@
         """For the log: the connections now, and what became of others since the start."""
         return self.connections() | self.figures.connections()
 
-    def hold(self, out: bool, host: str) -> Said:
-        if not (self.driver.knows(host) or host in self.bans.out):
-            return Said(404, "no such backend\n")
+    def hold(self, bans: Bans, known: Callable[[str], bool], out: bool, name: str) -> Said:
+        """Take a backend or a zone out, or put it back."""
+        if not (known(name) or name in bans.out):
+            return Said(404, "no such name\n")
         try:
-            self.bans.set(host, out)
+            bans.set(name, out)
         except OSError as error:
-            log.error("the list of backends out by hand can't be written: %s", error)
+            log.error("what is out by hand can't be written: %s", error)
             self.budget.relieve(error)
             return Said(503, "it could not be kept\n")
         return YES
@@ -208,6 +214,9 @@
         while True:
             config = await changes.get()
             self.budget.configured, self.budget.shares = config.sockets, config.shares
+            if config.settings.regions != self.config.settings.regions:
+                self.driver.give(api.RegionsChanged(config.settings.regions))
+            self.config = config
             self.discovery.move(config.discovery)
             if self.counter is not None and config.counter is not None:
                 self.counter.move(config.counter)
