--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -535,6 +535,7 @@
 
     def sweep(self) -> None:
         now = now_ms()
+        self.close_oldest(max(0, len(self.connections) - self.budget.most(Part.BACKENDS)))  # it may shrink
         for backend, host in list(self.hosts.items()):
             for connection in list(host.idle):
                 if self.idle_times.allows(now, now - connection.idle_since):
--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -540,6 +540,8 @@
         now = time.monotonic()
         for connection in list(self.connections):
             connection.check(now)
+        # The budget may have shrunk: by SIGHUP, or by what the other process of an upgrade holds.
+        self.make_room(self.live - self.most)
         self.budget.keep_spare()
         self.sweeping = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -104,7 +104,7 @@
         }
 
     def zones(self) -> dict[str, dict[str, int]]:
-        """The figures of each zone, under a name that can stand in a figure's."""
+        """The figures of each zone, under a name that can stand in a figure's; of two alike, those of one."""
         given = self.gateway.zones.figures(now_ms())
         return {UNFIT.sub("_", zone)[:LONGEST_ZONE] or "_": figures for zone, figures in given.items()}
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,7 +13,7 @@
 from mintford import interface as api
 from mintford.rules import Gateway
 
-PLAN = api.Plan("free")
+PLANS = api.Plan("free"), api.Plan("quota", rate=4, burst=8, beyond_costs=1)
 ANSWER_MS = 50.0  # that an answer takes
 
 
@@ -34,16 +34,24 @@
         self.cell_of: dict[int, int] = {}
         self.mode: dict[str | int, str] = {}  # of a zone or a backend: silent, refuses, fails
         self.slow: dict[str | int, float] = {}  # times as slow
+        self.work_ms = 0.0  # where set, a backend does one request after another, and each takes so long
+        self.busy: dict[int, float] = {}  # until when
+        self.counter: str = "answers"  # or it is lost
+        self.totals: Counts[str] = Counts()
         self.sent: list[tuple[float, int, int, str]] = []  # when, gateway, backend, request
+        self.made: Counts[tuple[int, str]] = Counts()  # attempts of a request
         self.ended: Counts[str] = Counts()
         self.answered: set[tuple[int, str]] = set()
+        self.came: dict[tuple[int, str], float] = {}  # requests that are open
+        self.refused_after: list[float] = []  # milliseconds
+        self.served_after: list[float] = []
         self.remarks: list[tuple[float, int, str]] = []
         self.events: list[tuple[float, api.Event, list[api.Action]]] = []  # of the first gateway
         for number, (zone, count) in enumerate(zones.items()):
             for place in range(count):
                 backend = (number + 1) * 1000 + place
                 self.zone_of[backend], self.cell_of[backend] = zone, place // 2
-        changes = dict(gateways=gateways, plans=(PLAN,), may_duplicate=True, max_attempts=5) | changes
+        changes = dict(gateways=gateways, plans=PLANS, may_duplicate=True, max_attempts=5) | changes
         self.gateways = [
             Gateway(settings(zone=own(index), index=index, **changes), seed * 1000 + index)
             for index in range(gateways)
@@ -71,13 +79,15 @@
     def later(self, delay: float, call: Callable[[], None]) -> None:
         heapq.heappush(self.queue, (self.now + delay, next(self.serial), call))
 
-    def run(self, milliseconds: float, gap: float = 100.0, kinds: tuple[str, ...] = ("view",)) -> None:
+    def run(
+        self, milliseconds: float, gap: float = 100.0, kinds: tuple[str, ...] = ("view",), plan: str = "free"
+    ) -> None:
         """Each gateway is asked every `gap` on average."""
         end = self.now + milliseconds
         for index in range(len(self.gateways)):
             at = self.chance.uniform(0, gap)
             while at < milliseconds:
-                self.later(at, lambda index=index: self.ask(index, kinds))  # type: ignore[misc]
+                self.later(at, lambda index=index: self.ask(index, kinds, plan))  # type: ignore[misc]
                 at += self.chance.uniform(0.5, 1.5) * gap
         while self.queue and self.queue[0][0] <= end:
             self.now, _, call = heapq.heappop(self.queue)
@@ -86,13 +96,14 @@
 
     # ---- gateways ----
 
-    def ask(self, index: int, kinds: tuple[str, ...]) -> None:
+    def ask(self, index: int, kinds: tuple[str, ...], plan: str) -> None:
         request = f"r{next(self.serial)}"
         expires = self.now + 3000
         kind = self.chance.choice(kinds)
         self.later(3000, lambda: self.answered.add((index, request)))
+        self.came[index, request] = self.now
         customer = f"c{self.chance.randrange(50)}"
-        self.give(index, api.RequestArrived(request, kind, "free", customer, expires, 1.0, 1, index))
+        self.give(index, api.RequestArrived(request, kind, plan, customer, expires, 1.0, 1, index))
 
     def give(self, index: int, event: api.Event) -> None:
         actions = self.gateways[index].handle(self.now, event)
@@ -104,7 +115,8 @@
     def act(self, index: int, action: api.Action) -> None:
         match action:
             case api.Send(request, backend):
-                number = sum(1 for _, i, _, r in self.sent[-4000:] if i == index and r == request)
+                number = self.made[index, request]
+                self.made[index, request] += 1
                 self.sent.append((self.now, index, backend, request))
                 self.meet(index, request, number, backend, self.now)
             case api.Cancel(request, number):
@@ -114,20 +126,39 @@
             case api.Refuse(request) | api.Fail(request):
                 self.answered.add((index, request))
                 self.ended[type(action).__name__] += 1
+                self.refused_after.append(self.now - self.came.pop((index, request)))
+            case api.Count(name, amount):
+                self.count(index, name, amount)
             case api.Remark(text):
                 self.remarks.append((self.now, index, text))
 
+    def count(self, index: int, name: str, amount: float) -> None:
+        if self.counter == "lost":
+            reply = api.CounterReplied(name, api.Outcome.TIMED_OUT, 0.0)
+            return self.later(120.0, lambda: self.give(index, reply))
+        self.totals[name] += amount  # type: ignore[assignment]
+        reply = api.CounterReplied(name, api.Outcome.OK, self.totals[name])
+        self.later(2.0, lambda: self.give(index, reply))
+
     def meet(self, index: int, request: str, number: int, backend: int, sent_at: float) -> None:
         mode = self.mode.get(backend) or self.mode.get(self.zone_of[backend], "answers")
         slow = self.slow.get(backend) or self.slow.get(self.zone_of[backend], 1.0)
+        usual = ANSWER_MS * slow * self.chance.uniform(0.5, 1.5)
         outcome, delay = {
-            "answers": (api.Outcome.OK, ANSWER_MS * slow * self.chance.uniform(0.5, 1.5)),
+            "answers": (api.Outcome.OK, self.work(backend) or usual),
             "silent": (api.Outcome.TIMED_OUT, 3000.0),
             "refuses": (api.Outcome.CONNECT, 1.0),
             "fails": (api.Outcome.FAILED, 5.0),
         }[mode]
         self.later(delay, lambda: self.end(index, request, number, backend, outcome, sent_at))
 
+    def work(self, backend: int) -> float:
+        """How long an answer takes behind those that wait there."""
+        if not self.work_ms:
+            return 0.0
+        self.busy[backend] = max(self.now, self.busy.get(backend, 0.0)) + self.work_ms
+        return self.busy[backend] - self.now
+
     def end(
         self, index: int, request: str, number: int, backend: int, outcome: api.Outcome, sent_at: float
     ) -> None:
@@ -138,6 +169,7 @@
         if outcome is api.Outcome.OK and (index, request) not in self.answered:
             self.answered.add((index, request))
             self.ended["served"] += 1
+            self.served_after.append(self.now - self.came.pop((index, request)))
         lag = self.now - sent_at
         self.give(index, api.AttemptEnded(request, number, attempt.backend.id, outcome, lag, finished))
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -373,6 +373,38 @@
         assert place.server.shares.held == {p: len(h) for p, h in place.server.proven.items()}
 
 
+def test_a_budget_that_shrinks_takes_back_what_is_idle_and_nothing_else() -> None:
+    async def scenario() -> None:
+        place = Place()
+        busy = [place.connect() for _ in range(20)]
+        for connection in busy:
+            place.ask(connection)
+        idle = [place.idle() for _ in range(60)]
+        place.budget.configured = 100  # by SIGHUP: 32 places
+        place.server.sweep()
+        assert not any(map(ended, busy)) and sum(map(bool, map(ended, idle))) == 80 - place.server.most
+        place.budget.beside = 90  # by the other process of an upgrade
+        place.server.sweep()
+        assert not any(map(ended, busy)) and all(map(ended, idle))
+        place.server.close()
+
+    in_loop(scenario)
+
+
+def test_the_pool_shrinks_with_its_budget() -> None:
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server) as made:
+            await asyncio.gather(*(Try(made).result() for _ in range(20)))
+            opened = len(made.connections)
+            assert opened > 8
+            made.budget.beside = 2_000
+            made.sweep()
+            assert len(made.connections) == 8
+
+    in_loop(scenario)
+
+
 # ---- half-open peers ----
 
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -474,3 +474,49 @@
     with pytest.raises(ConfigError, match="regions: ") as caught:
         parse_config(config(regions=given))
     assert "\n" not in str(caught.value) and json.dumps(given)
+
+
+def test_what_the_other_zones_can_t_take_is_refused_at_once_and_not_piled_up() -> None:
+    """Three zones at 85%: with one lost, the other two are asked for a quarter more than they can do."""
+    fleet = Fleet(ZONES, 6, own=spread)
+    fleet.work_ms = 50.0  # 360 a second of all
+    fleet.run(4000, gap=6 * 1000 / 306)
+    lost = fleet.now
+    fleet.mode["b"] = "silent"
+    fleet.run(2000, gap=6 * 1000 / 306)
+    served, refused = len(fleet.served_after), len(fleet.refused_after)
+    fleet.run(6000, gap=6 * 1000 / 306)
+    answered, turned = sorted(fleet.served_after[served:]), sorted(fleet.refused_after[refused:])
+    assert len(answered) > 0.8 * 6 * 240  # the others do nearly all they can
+    assert answered[len(answered) * 95 // 100] < 1000  # within the aim, as nothing piles up
+    assert turned and turned[len(turned) * 3 // 4] < 50  # most are told at once
+    assert fleet.share("b", lost + 3000) < 0.06
+
+
+def test_the_counter_lost_along_with_a_zone() -> None:
+    fleet = Fleet(ZONES, 6, own=spread)
+    fleet.run(4000, gap=50, plan="quota")
+    fleet.mode["b"], fleet.counter = "silent", "lost"
+    fleet.run(3000, gap=50, plan="quota")
+    since, before = fleet.now, Counts(fleet.ended)
+    fleet.run(4000, gap=50, plan="quota")
+    assert states(fleet, "b")[State.LEFT] >= 5 and fleet.share("b", since) < 0.06
+    done = fleet.ended - before
+    assert done["served"] > 0.9 * done.total() - done["Refuse"] and done["served"] > 100
+    fleet.counter = "answers"
+    fleet.mode.clear()
+    fleet.run(15_000, gap=50, plan="quota")
+    assert fleet.share("b", fleet.now - 3000) > 0.15
+
+
+def test_a_list_that_comes_late_and_names_backends_that_are_gone() -> None:
+    fleet = Fleet(ZONES, 4, own=spread)
+    fleet.run(2000, gap=50)
+    for backend in fleet.of("b"):
+        fleet.mode[backend] = "refuses"  # gone, and the list does not know
+    fleet.run(6000, gap=50)
+    assert fleet.share("b", fleet.now - 3000) < 0.06
+    fleet.tell(fleet.of("b"), state=api.BackendState.GONE)
+    since = fleet.now
+    fleet.run(2000, gap=50)
+    assert not fleet.to("b", since) and all(not g.zones.zones["b"].usable for g in fleet.gateways)
