State on disk: rows with checksums in SQLite, spending reserved ahead, restored at a start

Need: a gateway that dies starts from nothing, and buckets are taken as full or empty, each wrong. With `state` or $LB_STATE the module gives rows in the form of the hand-over, reserves a customer's spending ahead of them, and takes them back after a start; store.py commits them in one thread. Off without the setting: nothing is imported. Tests: property test over spending, commits, crashes and clocks (seen to fail for each guard taken out); kills between SQL steps; files and log cut and flipped.

--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -245,6 +245,36 @@
     """The other process of this gateway has ended."""
 
 
+@dataclass(frozen=True, slots=True)
+class KeepingTurned:
+    """From now on all state is kept on disk, in a file that holds nothing yet; or no more."""
+
+    on: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """All rows up to that one are committed."""
+
+    serial: int
+
+
+@dataclass(frozen=True, slots=True)
+class Restarted:
+    """A file of this gateway was found: when it was last written, and its restarts, this one too."""
+
+    alive: float
+    restarts: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """A row of that file, and when it was told."""
+
+    said: list[Any]
+    at: float
+
+
 Event = (
     BackendsChanged
     | BackendHeld
@@ -256,6 +286,10 @@
     | BesideCame
     | BesideSaid
     | BesideLeft
+    | KeepingTurned
+    | Kept
+    | Restarted
+    | Recovered
     | RequestWhole
     | AttemptWritten
     | ValueBegan
@@ -324,6 +358,14 @@
     said: list[Any]
 
 
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """A row for the disk, in the form of `Tell`, or `["forget", KIND, NAME]`. `Kept` answers it."""
+
+    serial: int
+    said: list[Any]
+
+
 @dataclass(frozen=True, slots=True)
 class Remark:
     """A line for the log."""
@@ -331,5 +373,5 @@
     text: str
 
 
-Action = Send | Cancel | Refuse | Fail | SetTimer | Count | FollowList | Tell | Remark
+Action = Send | Cancel | Refuse | Fail | SetTimer | Count | FollowList | Tell | Keep | Remark
 Actions = list[Action]
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from . import interface as api
+from .keeping import Keeping
 from .zones import Zones
 
 OWED_MS = 1_500.0  # a backend put back gets a request after so long at the latest, as it may be worth using
@@ -75,6 +76,12 @@
         # and its last reading of the period before (below 0: none). It waits for how that one ended.
         self.begun = 0.0, 0.0, 0.0, -1.0
 
+    def state(self, reserved: float = 0.0) -> list[Any]:
+        """As it is told to another process or kept on disk, there with a part that counts as spent."""
+        less = {"tokens": -reserved, "ceiling": -reserved, "store": -reserved, "spent": reserved}
+        numbers = [getattr(self, name) + less.get(name, 0) for name in self.PASSED]
+        return ["customer", self.key, self.plan.name, self.out, numbers]
+
 
 class Backend:
     """One backend as this gateway has seen it."""
@@ -151,6 +158,7 @@
         self.returned: dict[int, float] = {}  # backends that they put back lately, and when
         self.subset: list[Backend] = []  # the backends that this gateway uses
         self.zones = Zones(settings, self.random)
+        self.keeping = Keeping(settings, random.Random(seed))  # a lot of its own: it changes nothing if off
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, the oldest first
         self.created = -1.0  # the time of the first event
@@ -165,6 +173,9 @@
             api.ValueBegan: self.on_began,
             api.BesideCame: self.on_beside_came, api.BesideSaid: self.on_beside_said,
             api.BesideLeft: self.on_beside_left,
+            api.KeepingTurned: self.on_keeping, api.Recovered: self.on_recovered,
+            api.Kept: lambda now, event, out: self.keeping.kept(now, event.serial, out),
+            api.Restarted: lambda now, event, _: self.keeping.begin(now, event.alive, event.restarts),
             api.BackendsChanged: self.on_list, api.BackendHeld: self.on_held,
             api.ZoneHeld: self.on_zone_held, api.RegionsChanged: self.on_regions,
             api.RequestLapsed: lambda _, event, __: self.requests.pop(event.request, None),
@@ -229,6 +240,7 @@
         c.spent += more
         c.store -= more
         c.tokens -= more
+        self.keeping.settled(c, more)
 
     def count(self, c: Customer, period: int, amount: float, out: api.Actions, request: str) -> None:
         name = f"{period}:" + hashlib.blake2b(c.key.encode(), digest_size=16).hexdigest()  # keys may be long
@@ -264,6 +276,7 @@
         True: the lease waits for how the last period ended, as the burst may not be paid back yet.
         """
         self.fill(now, c)
+        self.keeping.renewed(c)
         c.lease_end, rate, burst = now + LEASE_MS, c.plan.rate, c.plan.burst
         if not amount:  # how the last period ended
             others, mine, brought, read = c.begun
@@ -326,6 +339,7 @@
     def on_request(self, now: float, event: api.RequestArrived, out: api.Actions) -> None:
         if now - self.tidied_at > LEASE_MS:  # forget idle customers
             kept = {k: c for k, c in self.customers.items() if c.out or now - c.filled_at <= c.keep_ms}
+            self.keeping.forget([key for key in self.customers if key not in kept], out)
             self.customers, self.tidied_at = kept, now
         left = event.expires - now
         kind = self.classes.get(event.request_class) or api.RequestClass(event.request_class, left, left)
@@ -347,6 +361,8 @@
         self.retries = min(RETRY_STORE, self.retries + (RETRY_CALM if strain < CALM else RETRY_SHARE))
         spare = strain < CALM and plan.beyond_earns > plan.beyond_costs
         over_ceiling = bool(plan.ceiling_rate) and c.ceiling < units
+        lacks, over = self.keeping.lacks(now, c, units)
+        short, over_ceiling = max(short, lacks), over_ceiling or over
         beyond = over_ceiling or ((short > 0 or crowded) and not spare)
         # Refuse early what would be answered too late; a class worth more holds out longer.
         lesser = 1 - kind.importance / self.top_importance if self.top_importance else 0.0
@@ -360,6 +376,7 @@
             return self.finish(request, out, wait, short_of if beyond or too_late else "backends")
         taken = units if 0 < units <= c.tokens else 0.0
         self.spend(c, taken, units, units)
+        self.keeping.spent(now, c, units, out)
         self.tell(c, out, tokens=taken, units=units, ceiling=units)
         self.send(now, request, backend, out)
 
@@ -375,12 +392,15 @@
         Danger: two processes with a bucket each would let in everything twice.
         """
         self.beside, self.counts = True, False
-        pace = self.typical, self.recent, self.recent_at, self.samples, self.rate, self.answered_at
-        out.append(api.Tell(["gateway", self.created, *pace]))
-        out.extend(api.Tell(["backend", b.id, b.marks]) for b in self.backends.values())
+        out.extend(api.Tell(said) for said in self.state().values())
         for c in sorted(self.customers.values(), key=lambda c: c.filled_at)[-MOST_PASSED:]:
-            state = [getattr(c, name) for name in c.PASSED]
-            out.append(api.Tell(["customer", c.key, c.plan.name, c.out, state]))
+            out.append(api.Tell(c.state()))
+
+    def state(self) -> dict[str, list[Any]]:
+        """What is passed over or kept of the gateway itself and of each backend, by name."""
+        pace = self.typical, self.recent, self.recent_at, self.samples, self.rate, self.answered_at
+        of_backends = ([b.id, dict(b.marks), b.started] for b in self.backends.values() if b.marks)
+        return {"": ["gateway", self.created, *pace]} | {str(b[0]): ["backend", *b] for b in of_backends}
 
     def tell(
         self, c: Customer, out: api.Actions, asked: float = 0.0, tokens: float = 0.0, units: float = 0.0,
@@ -390,31 +410,65 @@
         if self.beside:
             out.append(api.Tell(["spent", c.key, c.plan.name, c.even, asked, tokens, units, ceiling, open]))
 
-    def on_beside_said(self, now: float, event: api.BesideSaid, _: api.Actions) -> None:
+    def on_beside_said(self, now: float, event: api.BesideSaid, out: api.Actions) -> None:
         """Take over what the other process holds. Raises ValueError for what no such process says."""
         self.beside = True
         match event.said:
+            case ["spent", str(key), str(plan), *rest] if plan in self.plans and len(rest) == 6:
+                even, asked, tokens, units, ceiling, away = read_numbers(rest)
+                c = self.customer(now, key, plan, max(1e-3, even))
+                self.fill(now, c)
+                self.spend(c, tokens, units, ceiling)
+                self.keeping.spent(now, c, units, out)
+                c.unsaid, c.elsewhere = c.unsaid + asked, max(0, c.elsewhere + int(away))
+            case said:
+                self.take(now, said)
+
+    def take(self, now: float, said: list[Any]) -> Customer | None:
+        """Take over a piece of state, from another process or the disk; the customer, if it is of one."""
+        match said:
             case ["gateway", *numbers] if len(finite := read_numbers(numbers)) == 7:
                 self.created, self.typical, self.recent, self.recent_at = finite[:4]
                 self.samples, self.rate, self.answered_at = finite[4:]
-            case ["backend", int(backend), dict(marks)]:
-                if b := self.backends.get(backend):
-                    read = {str(name): read_numbers(mark) for name, mark in marks.items()}
-                    b.marks = {name: (level, at) for name, (level, at) in read.items()}
+            case ["backend", int(backend), dict(marks), *started]:
+                read = {str(name): read_numbers(mark) for name, mark in marks.items()}
+                kept = {name: (level, min(at, now)) for name, (level, at) in read.items()}
+                if (b := self.backends.get(backend)) and started in ([], [b.started]):
+                    b.marks = kept  # of the same process; what was seen of another one says nothing
             case ["customer", str(key), str(plan), int(out), list(state)] if plan in self.plans:
                 values = dict(zip(Customer.PASSED, read_numbers(state), strict=True))
                 c = self.customer(now, key, plan, max(1e-3, values["even"]))
                 for name, number in values.items():
                     setattr(c, name, type(getattr(c, name))(number))
                 c.elsewhere = out
-            case ["spent", str(key), str(plan), *rest] if plan in self.plans and len(rest) == 6:
-                even, asked, tokens, units, ceiling, away = read_numbers(rest)
-                c = self.customer(now, key, plan, max(1e-3, even))
-                self.fill(now, c)
-                self.spend(c, tokens, units, ceiling)
-                c.unsaid, c.elsewhere = c.unsaid + asked, max(0, c.elsewhere + int(away))
+                return c
             case _:
-                raise ValueError(f"said by the process beside this one: {event.said[:1]}")
+                raise ValueError(f"no state of this program: {said[:1]}")
+        return None
+
+    # ---- the disk ----
+
+    def on_keeping(self, now: float, event: api.KeepingTurned, out: api.Actions) -> None:
+        self.keeping.turn(now, event.on, self.customers, self.state(), out)
+
+    def on_recovered(self, now: float, event: api.Recovered, _: api.Actions) -> None:
+        """Take over a row of an earlier life. Raises ValueError for what this program never wrote."""
+        if event.said[:1] != ["customer"]:
+            if self.keeping.believed:
+                self.take(now, event.said)
+                self.created, self.recent_at, self.answered_at = (
+                    min(now, at) for at in (self.created, self.recent_at, self.answered_at)
+                )
+            return
+        if c := self.take(now, event.said):
+            try:
+                self.keeping.restore(now, c, event.at)
+            except ValueError:
+                del self.customers[c.key]
+                raise
+            c.elsewhere = 0  # nobody is left to take the answers
+            c.period = min(c.period, int(now // PERIOD_MS))
+            self.fill(now, c)
 
     def on_beside_left(self, now: float, _: api.BesideLeft, __: api.Actions) -> None:
         self.beside, self.counts = False, True
@@ -427,6 +481,7 @@
             of_plan = self.plans.get(plan) or api.Plan(plan)  # an unknown plan has no quota to keep
             c = Customer(key, of_plan, even, now, self.created, self.settings.most_units)
             self.customers[key] = c
+            self.keeping.first(now, c)
         return c
 
     def time_to_answer(self, now: float) -> float:
@@ -678,6 +733,8 @@
     def on_timer(self, now: float, event: api.TimerFired, out: api.Actions) -> None:
         if event.token == "follow":
             out.append(api.FollowList())
+        if event.token == "keep" and now >= self.keeping.due - 1:
+            self.keeping.look(now, self.state(), out)
         request = self.requests.get(event.token[1:])
         if request is None or now < request.check_at - 1:
             return
--- a/mintford/wirehost.py
+++ b/mintford/wirehost.py
@@ -165,7 +165,7 @@
             return ["follow", enable]
         case api.Remark(text):
             return ["remark", text]
-        case api.Tell():
+        case api.Tell() | api.Keep():
             raise WireError("an instance has no other process beside it")
 
 
--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -28,6 +28,7 @@
     """Serve until `stop` is set, then drain. `ready` is told the port once clients may come."""
     loop = asyncio.get_running_loop()
     service = Service(config, stop)
+    await service.load()
     watch = loop.create_task(service.discovery.run())
     following = loop.create_task(service.follow(changes or asyncio.Queue()))
     port = await service.open()
--- a/roadpulley/bans.py
+++ b/roadpulley/bans.py
@@ -58,6 +58,23 @@
             self._write(held, dict(list(back.items())[-MOST_NAMES:]))
             self._take(held, back)
 
+    def recover(self, found: dict[str, tuple[bool, float]]) -> None:
+        """Take over what a disk tells, where the file, which may be gone, says nothing later."""
+        now = now_ms()
+        with self._locked():
+            self._read()
+            held, back = dict(self.out), dict(self.back)
+            for host, (out, at) in found.items():
+                if at > max(held.get(host, -math.inf), back.get(host, -math.inf)) and len(held) < MOST_NAMES:
+                    held.pop(host, None)
+                    back.pop(host, None)
+                    (held if out else back)[host] = min(at, now)
+            back = {host: at for host, at in back.items() if now - at < BACK_MS}
+            try:
+                self._write(held, back)
+            finally:
+                self._take(held, back)
+
     def look(self) -> None:
         """Follow what another process of this gateway may have written."""
         self._read()
--- a/roadpulley/config.py
+++ b/roadpulley/config.py
@@ -19,6 +19,7 @@
 HIGHEST_PORT = 65_535
 LEAST_SHARE = 0.05  # of the descriptors, or of the clients' part; and as much is left to the rest
 MOST_CONNECTS = 64  # handshakes under way to one backend that may be allowed
+STATE = "LB_STATE"  # goes before the file, likewise
 OPERATOR = "LB_OPERATOR"  # goes before the file: each process of an upgrade has an address of its own
 
 
@@ -41,6 +42,7 @@
     keepalive: float
     max_open: int
     shares: Shares  # of the descriptors
+    state: Path | None  # the folder where state is kept on disk; none: nowhere
     known: dict[str, Any]  # the list of backends as this gateway last had it, in discovery's form
 
 
@@ -91,6 +93,16 @@
     return tuple(regions.items())
 
 
+def parse_state(given: Any) -> Path | None:
+    """The optional folder `state`; nothing is kept without one."""
+    if given is not None and not isinstance(given, str):
+        raise ValueError(f"state: not a string: {given!r}")
+    if "\0" in (given or ""):
+        raise ValueError("state: no folder has such a name")
+    folder = os.environ.get(STATE) or given
+    return Path(folder) if folder else None
+
+
 def parse_config(raw: dict[str, Any]) -> Config:
     try:
         settings = raw["settings"]
@@ -110,6 +122,7 @@
             keepalive=float(caps.get("keepalive") or 15_000),
             max_open=int(caps.get("maxOpen") or 10_000),
             shares=parse_shares(raw.get("connections")),
+            state=parse_state(raw.get("state")),
             known=raw.get("known") or {},
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
--- a/roadpulley/descriptors.py
+++ b/roadpulley/descriptors.py
@@ -18,6 +18,7 @@
 # Of the process itself: standard streams 3, event loop and signals 6, listening sockets 3, the line to the
 # process beside it 2, a file and its lock 2, the spare one 1.
 OWN = 17
+OF_STATE = 7  # of the state on disk: lock 1, database 3, a journal while it begins 1, folder 2
 LEAST = 8  # connections of clients and of backends, whatever the other process of an upgrade holds
 RELIEVED = 8  # connections that may be closed to find descriptors: as many as are accepted in one turn
 
@@ -54,7 +55,8 @@
     leave is headroom: a connection that is closed keeps its descriptor for a turn of the event loop.
     """
 
-    def __init__(self, limit: int, shares: Shares = Shares()) -> None:
+    def __init__(self, limit: int, shares: Shares = Shares(), own: int = OWN) -> None:
+        self.own = own
         self.shares, self.configured = shares, limit
         self.beside = 0  # held by the other process of an upgrade
         self.held: Counts[Part] = Counts()
@@ -76,7 +78,7 @@
         left = max(0, self.limit - self.beside)
         whole = self.shares.clients + self.shares.backends
         # Of a low limit the fixed parts take more than the shares leave.
-        most = int(min(left * share, (left - OWN - sum(FIXED.values())) * share / whole))
+        most = int(min(left * share, (left - self.own - sum(FIXED.values())) * share / whole))
         if self.frozen is not None:
             most = min(most, self.frozen[part])
         return max(LEAST, most)
@@ -92,7 +94,7 @@
 
     @property
     def total(self) -> int:
-        return OWN + self.held.total()
+        return self.own + self.held.total()
 
     def gauges(self) -> dict[str, int]:
         return {"descriptors.held": self.total, "descriptors.limit": self.limit}
--- a/roadpulley/discovery.py
+++ b/roadpulley/discovery.py
@@ -104,6 +104,7 @@
         self.first_wait = chance.uniform(0, apart) if version is not None else 0.0
         self.writer: asyncio.StreamWriter | None = None  # of the watch that is open
         self.heard = asyncio.Event()  # it has told something
+        self.keep: Callable[[dict[str, Any]], None] = lambda raw: None  # of what it told, as it was told
 
     def move(self, address: Address) -> None:
         """Follow the list at another address, from the version it has."""
@@ -158,6 +159,7 @@
         if got.whole or got.members:
             self.listener(ListScope.FULL if got.whole else ListScope.CHANGES, got.members)
         self.version = got.version
+        self.keep(raw)
         self.heard.set()
 
     async def _lines(self, target: str) -> AsyncIterator[bytes]:
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -74,6 +74,7 @@
         self.gateway, self.settings = Gateway(settings, seed), settings
         self.timers, self.backends, self.counter, self.max_open = timers, backends, counter, max_open
         self.figures, self.room, self.tell = figures, room, tell
+        self.keep: Callable[[int, list[Any]], None] = lambda serial, said: None  # of rows for the disk
         self.kinds = {kind.name: kind for kind in settings.classes}
         self.plans = {plan.name for plan in settings.plans}
         self.requests: dict[str, Request] = {}
@@ -128,6 +129,15 @@
         finally:
             self.busy = False
 
+    def recover(self, said: list[Any], at: float) -> bool:
+        """Give the module a row of an earlier life; whether it could be taken."""
+        try:
+            self.gateway.handle(now_ms(), api.Recovered(said, at))
+        except (ValueError, TypeError, OverflowError) as error:
+            log.info("a row of the state on disk is left out: %s", error)
+            return False
+        return True
+
     def abandon(self, event: api.Event) -> None:
         """The honest end of a request whose event the module failed at: whether it ran is not known."""
         if isinstance(event, api.RequestArrived | api.AttemptEnded):
@@ -350,6 +360,8 @@
                     self.counter.add(name, amount, expire_in, self.on_counted)
             case api.Tell(said):
                 self.tell(said)
+            case api.Keep(serial, said):
+                self.keep(serial, said)
             case api.Remark(text):
                 log.info("%s", text)
             case api.FollowList():
--- a/roadpulley/figures.py
+++ b/roadpulley/figures.py
@@ -52,13 +52,15 @@
         counts |= {"handshakes.begun": self.begun, "handshakes.failed": self.failed}
         return counts | {"handshakes.waited": self.waited, "crowded": self.crowded}
 
-    def text(self, gauges: dict[str, int], zones: dict[str, dict[str, int]]) -> str:
+    def text(
+        self, gauges: dict[str, int], zones: dict[str, dict[str, int]], counts: dict[str, int] | None = None
+    ) -> str:
         lines = [f"{PREFIX}.{ended.value}.{name}:{n}|c" for (ended, name), n in self.requests.items()]
         lines.append(f"{PREFIX}.forwards:{self.forwards}|c")
-        lines += [f"{PREFIX}.{name}:{n}|c" for name, n in self.connections().items()]
+        lines += [f"{PREFIX}.{name}:{n}|c" for name, n in (self.connections() | (counts or {})).items()]
         lines += [f"{PREFIX}.{name}:{value}|g" for name, value in gauges.items()]
-        for zone, counts in zones.items():
-            for name, value in counts.items():
+        for zone, of_zone in zones.items():
+            for name, value in of_zone.items():
                 kind = "g" if name in ZONE_GAUGES else "c"
                 lines.append(f"{PREFIX}.zone.{zone}.{name}:{value}|{kind}")
         return "\n".join(lines) + "\n"
--- a/roadpulley/operators.py
+++ b/roadpulley/operators.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple, cast
 
 import h11
@@ -29,8 +29,9 @@
     text: str
 
 
+Later = Coroutine[Any, Any, Said]  # an answer that waits for something, within the time of a call
 Call = Callable[[], Said]
-IdCall = Callable[[str], Said]
+IdCall = Callable[[str], Said | Later]
 
 
 class Calls(NamedTuple):
@@ -40,7 +41,7 @@
     posts: dict[str, Call]
     id_posts: dict[str, IdCall]
 
-    def answer(self, method: str, path: str, body: bytes) -> Said:
+    def answer(self, method: str, path: str, body: bytes) -> Said | Later:
         allowed = self.allow(path)
         if path not in self.gets and path not in self.posts and path not in self.id_posts:
             return Said(404, "no such path\n")
@@ -114,7 +115,11 @@
             assert self.request is not None
             path = self.request.target.decode("ascii", "replace").partition("?")[0]
             method = self.request.method.decode("ascii", "replace")
-            self.reply(self.server.calls.answer(method, path, self.body), self.server.calls.allow(path))
+            said = self.server.calls.answer(method, path, self.body)
+            if isinstance(said, Said):
+                self.reply(said, self.server.calls.allow(path))
+            else:
+                self.server.answer_later(self, said)
             return False
         else:
             return False
@@ -150,6 +155,17 @@
         self.calls, self.budget = calls, budget
         self.connections: dict[OperatorConnection, None] = {}  # the oldest first
         self.acceptor: Acceptor | None = None
+        self.answering: set[asyncio.Task[None]] = set()  # calls whose answers are waited for
+
+    def answer_later(self, connection: OperatorConnection, said: Later) -> None:
+        """The call is carried out whether or not its caller stays."""
+
+        async def answer() -> None:
+            connection.reply(await said)
+
+        task = asyncio.get_running_loop().create_task(answer())
+        self.answering.add(task)
+        task.add_done_callback(self.answering.discard)
 
     def listen(self, address: Address) -> int:
         """Start to accept; gives the port."""
--- /dev/null
+++ b/roadpulley/recovery.py
@@ -0,0 +1,256 @@
+"""Joins the state on disk to the parts it is of: reads it at a start, and keeps it while the process runs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from pathlib import Path
+from typing import Any
+
+from mintford import interface as api
+
+from .bans import BACK_MS, Bans
+from .clock import now_ms
+from .discovery import Discovery, DiscoveryError, read_list
+from .driver import Driver
+from .store import HELD, LOCK_S, Found, Store
+
+log = logging.getLogger(__name__)
+
+LOAD_S = 1.0  # for the files to be read, and again for the first commit: then the gateway starts without
+HAND_S = 0.8  # for an operator's call to be committed: its answer is due within 1 s
+AGAIN_S = 60.0  # after a fault, until a new file is begun
+MOST_HOSTS = 4_096  # of a list that are kept
+FIELDS = ("host", "dial", "site", "block", "health", "born_ms")  # of a host
+
+
+class Recovery:
+    """Owns the store from the start to the end of the process, through faults and upgrades."""
+
+    def __init__(
+        self, folder: Path, name: str, driver: Driver, discovery: Discovery, hands: dict[str, Bans]
+    ) -> None:
+        self.folder, self.name = folder, name
+        self.driver, self.discovery, self.hands = driver, discovery, hands
+        self.loop = asyncio.get_running_loop()
+        self.store: Store | None = None
+        self.found: Found | None = None
+        self.hosts: dict[str, dict[str, Any]] = {}  # the last list
+        self.again: asyncio.TimerHandle | None = None
+        self.ready = asyncio.Event()  # the first commit of this life has come, or never will
+        self.served = False  # a second gateway of a folder never has it; this one had it, or will
+        self.failures = self.restored = self.dropped = self.commits = 0
+        self.restore_ms = 0
+        driver.keep, discovery.keep = self.keep, self.keep_list
+
+    # ---- at a start ----
+
+    async def load(self) -> None:
+        """Read what an earlier life has left; the list and what is out by hand are taken over at once."""
+        began = time.monotonic()
+        self.store = self.make()
+        try:
+            async with asyncio.timeout(LOAD_S):
+                self.found = await asyncio.shield(self.store.found)
+        except TimeoutError:
+            self.store.abandon("it takes too long to read")
+        except asyncio.CancelledError:
+            if self.store is not None:
+                raise  # not the store's end, but this task's
+        if self.found is not None:
+            self.take_list(self.found)
+            self.take_hands(self.found)
+        self.restore_ms = round((time.monotonic() - began) * 1000)
+
+    async def restore(self, took_over: bool) -> None:
+        """Before clients are taken: give the module what was found, and have all of it committed anew.
+
+        A process that has taken over from another one knows better, and waits for that one's files.
+        """
+        began = time.monotonic()
+        if self.found is not None and not took_over:
+            self.take_rows(self.found)
+        self.found = None
+        if self.store is not None:
+            self.begin(self.store)
+            try:
+                async with asyncio.timeout(LOAD_S):
+                    await self.ready.wait()
+            except TimeoutError:
+                if self.store is not None:
+                    self.store.abandon("its first commit takes too long")
+        self.restore_ms += round((time.monotonic() - began) * 1000)
+
+    def take_list(self, found: Found) -> None:
+        rows = {row.kind: row for row in found.rows if row.kind == "list"}
+        hosts = [row.said for row in found.rows if row.kind == "host"]
+        if "list" not in rows:
+            return
+        try:
+            known = read_list({"seq": rows["list"].said, "whole": True, "hosts": hosts})
+        except DiscoveryError as error:
+            self.dropped += 1
+            return log.info("the list on disk is left out: %s", error)
+        if self.discovery.version is None or known.version > self.discovery.version:
+            self.driver.members(api.ListScope.SAVED, known.members)
+            self.discovery.version = known.version
+            self.hosts = {str(host["host"]): host for host in hosts}
+            self.restored += len(hosts)
+
+    def take_hands(self, found: Found) -> None:
+        for kind, bans in self.hands.items():
+            told: dict[str, tuple[bool, float]] = {}
+            for row in found.rows:
+                if row.kind == kind:
+                    try:
+                        told[row.name] = bool(row.said["out"]), float(row.said["at"])
+                    except (KeyError, TypeError, ValueError):
+                        self.dropped += 1
+            if told:
+                self.restored += len(told)
+                try:
+                    bans.recover(told)
+                except OSError as error:
+                    log.warning("what is out by hand can't be written: %s", error)
+
+    def take_rows(self, found: Found) -> None:
+        """Customers first: where one is missing, the age of the gateway would promise it too much."""
+        if not found.restarts:
+            return
+        self.driver.give(api.Restarted(found.alive, found.restarts))
+        self.dropped += found.dropped
+        for kind in ("customer", "backend", "gateway"):
+            for row in found.rows:
+                if row.kind != kind or (kind == "gateway" and self.dropped):
+                    continue
+                if self.driver.recover(row.said, row.at):
+                    self.restored += 1
+                else:
+                    self.dropped += 1
+        log.info("%d rows of state restored, %d dropped", self.restored, self.dropped)
+
+    # ---- while it runs ----
+
+    def make(self, fresh: bool = False, wait: float = 0.0) -> Store:
+        return Store(self.folder, self.name, now_ms, self.on_kept, self.on_failed, fresh, wait)
+
+    def begin(self, store: Store) -> None:
+        """Keep all there is, in place of whatever the files hold."""
+        self.store, self.served = store, True
+        for name, host in self.hosts.items():
+            store.put("host", name, host)
+        if self.discovery.version is not None:
+            store.put("list", "seq", self.discovery.version)
+        for kind, bans in self.hands.items():
+            for name, at in bans.out.items():
+                store.put(kind, name, {"out": True, "at": at})
+            for name, at in bans.back.items():
+                if now_ms() - at < BACK_MS:
+                    store.put(kind, name, {"out": False, "at": at})
+        self.driver.give(api.KeepingTurned(True))
+        store.begin()
+
+    def on_kept(self, serial: int) -> None:
+        self.ready.set()
+        self.driver.give(api.Kept(serial))
+
+    def on_failed(self, reason: str) -> None:
+        self.retire()
+        self.failures += 1
+        self.ready.set()
+        self.driver.give(api.KeepingTurned(False))
+        if reason != HELD or self.served:
+            self.again = self.loop.call_later(AGAIN_S, self.start_anew)
+
+    def start_anew(self) -> None:
+        self.again = None
+        log.info("state on disk is begun anew")
+        self.begin(self.make(fresh=True))
+
+    def retire(self) -> None:
+        if self.store is not None:
+            self.commits += self.store.commits
+            self.store = None
+
+    def keep(self, serial: int, said: list[Any]) -> None:
+        """A row of the module."""
+        if self.store is None:
+            return
+        match said:
+            case ["forget", kind, name]:
+                self.store.put(kind, name, None, serial)
+            case ["gateway", *_]:
+                self.store.put("gateway", "", said, serial)
+            case [kind, name, *_]:
+                self.store.put(kind, str(name), said, serial)
+
+    def keep_list(self, raw: dict[str, Any]) -> None:
+        """What discovery told. The version comes last: what is missing of it is told again."""
+        told = {str(host["host"]): host for host in raw.get("hosts") or ()}
+        gone = {name for name, host in told.items() if host["health"] == "removed"}
+        if raw.get("whole"):
+            gone |= self.hosts.keys() - told.keys()
+        for name in gone & self.hosts.keys():
+            del self.hosts[name]
+            if self.store is not None:
+                self.store.put("host", name, None)
+        for name in told.keys() - gone:
+            if name in self.hosts or len(self.hosts) < MOST_HOSTS:
+                self.hosts[name] = {field: told[name][field] for field in FIELDS if field in told[name]}
+                if self.store is not None:
+                    self.store.put("host", name, self.hosts[name])
+        if self.store is not None:
+            self.store.put("list", "seq", int(raw["seq"]))
+
+    def keep_hand(self, kind: str, name: str, out: bool, since: float) -> int:
+        return self.store.put(kind, name, {"out": out, "at": since}) if self.store is not None else 0
+
+    async def commit_hand(self, kind: str, name: str, out: bool) -> bool:
+        """Whether an operator's word is on disk; if not, it is taken back there."""
+        if self.store is None:
+            return True  # it is off: the file in $TMPDIR is all there is
+        try:
+            async with asyncio.timeout(HAND_S):
+                return await self.store.committed(self.keep_hand(kind, name, out, now_ms()))
+        except TimeoutError:
+            self.take_back(kind, name)
+            return False
+
+    def take_back(self, kind: str, name: str) -> None:
+        bans = self.hands[kind]
+        self.keep_hand(kind, name, name in bans.out, now_ms())
+
+    # ---- upgrades and the end ----
+
+    def hand_over(self) -> None:
+        """Another process serves from now on: it is to have the files."""
+        if self.store is not None:
+            self.store.close()
+            self.retire()
+        self.driver.give(api.KeepingTurned(False))
+
+    def take_files(self) -> None:
+        """The other process lets go of the files, or is gone."""
+        if self.store is None and self.again is None:
+            self.begin(self.make(wait=LOCK_S))
+
+    def close(self) -> None:
+        if self.again is not None:
+            self.again.cancel()
+        if self.store is not None:
+            self.store.close()
+            self.store.join()
+
+    # ---- figures ----
+
+    def gauges(self) -> dict[str, int]:
+        on = self.store is not None
+        age = (time.monotonic() - self.store.committed_at) * 1000 if self.store is not None else 0
+        return {"state.on": int(on), "state.age_ms": round(age), "state.restore_ms": self.restore_ms}
+
+    def counts(self) -> dict[str, int]:
+        commits = self.commits + (self.store.commits if self.store is not None else 0)
+        counts = {"commits": commits, "failures": self.failures}
+        counts |= {"restored": self.restored, "dropped": self.dropped}
+        return {f"state.{name}": n for name, n in counts.items()}
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -6,9 +6,8 @@
 import gc
 import logging
 import random
-from collections.abc import Callable
 from functools import partial
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from mintford import interface as api
 
@@ -20,13 +19,16 @@
 from .clock import Timers
 from .config import Config
 from .counter import Counter
-from .descriptors import Budget
+from .descriptors import OF_STATE, OWN, Budget
 from .discovery import Discovery, asks_apart, read_list
 from .driver import Driver
 from .figures import Figures
-from .operators import Calls, OperatorServer, Said
+from .operators import Calls, Later, OperatorServer, Said
 from .streams import Room
 
+if TYPE_CHECKING:
+    from .recovery import Recovery
+
 log = logging.getLogger(__name__)
 
 NOTICE_S = 0.45  # on a drain, connections go on coming for this long: the front asks and notices
@@ -34,6 +36,7 @@
 CLOSING_S = 0.1
 NEWS_S = 0.25  # for discovery's first word before clients are taken; it says nothing if nothing changed
 HOLDS_S = 0.05  # between two tellings of the descriptors that are held
+HOST, ZONE = "held-host", "held-zone"  # kinds of rows on disk
 YES = Said(200, "yes\n")
 
 
@@ -46,7 +49,7 @@
         self.timers = Timers(self.loop)
         self.figures = Figures([kind.name for kind in config.settings.classes])
         self.room = Room(config.memory)
-        self.budget = Budget(config.sockets, config.shares)
+        self.budget = Budget(config.sockets, config.shares, OWN + (OF_STATE if config.state else 0))
         self.backends = Backends(
             self.loop,
             self.timers,
@@ -82,8 +85,16 @@
         self.discovery = Discovery(
             config.discovery, version, self.driver.members, chance, self.budget, apart
         )
-        self.bans = Bans(private_file(config.name, "bans.json"), self.timers, self.driver.hold)
-        self.zones = Bans(private_file(config.name, "zones.json"), self.timers, self.driver.hold_zone)
+        self.recovery: Recovery | None = None  # of the state on disk, if there is a folder for it
+        self.bans = Bans(private_file(config.name, "bans.json"), self.timers, self.on_host_held)
+        self.zones = Bans(private_file(config.name, "zones.json"), self.timers, self.on_zone_held)
+        if config.state is not None:
+            from .recovery import Recovery
+
+            hands = {HOST: self.bans, ZONE: self.zones}
+            self.recovery = Recovery(config.state, config.name, self.driver, self.discovery, hands)
+            if config.known:
+                self.recovery.keep_list(config.known)
         self.clients = ClientServer(self.driver, self.budget, self.room, self.figures)
         self.operators = OperatorServer(self.calls(), self.budget)
         self.beside = Beside(
@@ -104,10 +115,10 @@
             gets={"/ops/readiness": self.readiness, "/ops/stats": self.stats},
             posts={"/ops/drain/start": self.drain_start, "/ops/drain/stop": self.drain_stop},
             id_posts={
-                "/ops/backends/down": partial(self.hold, self.bans, self.driver.knows, True),
-                "/ops/backends/up": partial(self.hold, self.bans, self.driver.knows, False),
-                "/ops/zones/down": partial(self.hold, self.zones, self.driver.knows_zone, True),
-                "/ops/zones/up": partial(self.hold, self.zones, self.driver.knows_zone, False),
+                "/ops/backends/down": partial(self.hold, HOST, True),
+                "/ops/backends/up": partial(self.hold, HOST, False),
+                "/ops/zones/down": partial(self.hold, ZONE, True),
+                "/ops/zones/up": partial(self.hold, ZONE, False),
             },
         )
 
@@ -116,20 +127,30 @@
 
     def stats(self) -> Said:
         gauges = self.driver.gauges() | self.connections()
-        return Said(200, self.figures.text(gauges, self.driver.zones()))
+        counts = self.recovery.counts() if self.recovery is not None else {}
+        return Said(200, self.figures.text(gauges, self.driver.zones(), counts))
 
     def connections(self) -> dict[str, int]:
         """The connections by state, and what is held of the descriptors."""
-        return self.clients.gauges() | self.backends.gauges() | self.budget.gauges()
+        of_state = self.recovery.gauges() if self.recovery is not None else {}
+        return self.clients.gauges() | self.backends.gauges() | self.budget.gauges() | of_state
 
     def states(self) -> dict[str, int]:
         """For the log: the connections now, and what became of others since the start."""
-        return self.connections() | self.figures.connections()
+        of_state = self.recovery.counts() if self.recovery is not None else {}
+        return self.connections() | self.figures.connections() | of_state
 
-    def hold(self, bans: Bans, known: Callable[[str], bool], out: bool, name: str) -> Said:
+    def hold(self, kind: str, out: bool, name: str) -> Said | Later:
         """Take a backend or a zone out, or put it back."""
+        bans = self.bans if kind == HOST else self.zones
+        known = self.driver.knows if kind == HOST else self.driver.knows_zone
         if not (known(name) or name in bans.out):
             return Said(404, "no such name\n")
+        if self.recovery is not None:
+            return self.hold_kept(self.recovery, kind, bans, out, name)
+        return self.set_hand(bans, out, name)
+
+    def set_hand(self, bans: Bans, out: bool, name: str) -> Said:
         try:
             bans.set(name, out)
         except OSError as error:
@@ -138,6 +159,27 @@
             return Said(503, "it could not be kept\n")
         return YES
 
+    async def hold_kept(self, recovery: Recovery, kind: str, bans: Bans, out: bool, name: str) -> Said:
+        """A yes is given once it is on disk."""
+        if not out and name not in bans.out:
+            return YES  # calls may be repeated
+        if not await recovery.commit_hand(kind, name, out):
+            return Said(503, "it could not be kept on disk\n")
+        said = self.set_hand(bans, out, name)
+        if said is not YES:
+            recovery.take_back(kind, name)
+        return said
+
+    def on_host_held(self, host: str, out: bool, since: float) -> None:
+        self.driver.hold(host, out, since)
+        if self.recovery is not None:
+            self.recovery.keep_hand(HOST, host, out, since)
+
+    def on_zone_held(self, zone: str, out: bool, since: float) -> None:
+        self.driver.hold_zone(zone, out, since)
+        if self.recovery is not None:
+            self.recovery.keep_hand(ZONE, zone, out, since)
+
     def drain_start(self) -> Said:
         log.info("an operator sends clients away")
         self.clients.leave(NOTICE_S)
@@ -152,10 +194,18 @@
 
     # ---- its life ----
 
+    async def load(self) -> None:
+        """Read the state on disk, if there is any; the list in it may be newer than the known one."""
+        if self.recovery is not None:
+            await self.recovery.load()
+
     async def open(self) -> int:
         """Begin to serve; gives the port."""
         await self.hear_discovery()
         await self.beside.take_over()
+        took_over = self.beside.told.is_set()
+        if self.recovery is not None:
+            await self.recovery.restore(took_over)
         if self.config.operator is not None:
             self.operators.listen(self.config.operator)
         port = self.clients.listen(inherited() or listening(self.config.listen, BACKLOG))
@@ -163,6 +213,8 @@
         gc.freeze()  # what was loaded stays: no pause to look at it again
         log.info("%s serves at %s:%d", self.config.name, self.config.listen[0], port)
         self.beside.serving()
+        if self.recovery is not None and took_over:
+            self.recovery.take_files()
         await self.beside.listen()
         return port
 
@@ -186,6 +238,8 @@
         log.info("another process takes the clients")
         self.clients.hand_over()
         self.budget.hand_over()
+        if self.recovery is not None:
+            self.recovery.hand_over()
         if self.emptying is None:
             self.emptying = self.loop.create_task(self.empty())
 
@@ -204,6 +258,8 @@
             self.emptying = None
             self.budget.take_back()
             self.clients.take_back()
+            if self.recovery is not None:
+                self.recovery.take_files()
 
     def share(self, held: int) -> None:
         """Both processes hold their descriptors together."""
@@ -246,4 +302,6 @@
         self.backends.close()
         if self.counter is not None:
             self.counter.close()
+        if self.recovery is not None:
+            self.recovery.close()
         self.budget.close()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -56,9 +56,15 @@
 class World:
     """Feeds events to one gateway and remembers its actions, each with the time it came."""
 
-    def __init__(self, entries: Iterable[api.BackendEntry] = (), seed: int = 1, **changes: object) -> None:
+    def __init__(
+        self,
+        entries: Iterable[api.BackendEntry] = (),
+        seed: int = 1,
+        now: float = 10_000.0,
+        **changes: object,
+    ) -> None:
         self.gateway = Gateway(settings(**changes), seed)
-        self.now, self.serial = 10_000.0, 0
+        self.now, self.serial = now, 0
         self.timers: list[tuple[float, int, str]] = []
         self.log: list[tuple[float, api.Action]] = []
         self.give(backends(*(tuple(entries) or (entry(1), entry(2, cell=1), entry(3)))))
