--- a/roadpulley/recovery.py
+++ b/roadpulley/recovery.py
@@ -39,6 +39,7 @@
         self.hosts: dict[str, dict[str, Any]] = {}  # the last list
         self.again: asyncio.TimerHandle | None = None
         self.ready = asyncio.Event()  # the first commit of this life has come, or never will
+        self.held = False  # another process has them
         self.served = False  # a second gateway of a folder never has it; this one had it, or will
         self.failures = self.restored = self.dropped = self.commits = 0
         self.restore_ms = 0
@@ -48,7 +49,7 @@
 
     async def load(self) -> None:
         """Read what an earlier life has left; the list and what is out by hand are taken over at once."""
-        began = time.monotonic()
+        began, self.held = time.monotonic(), False
         self.store = self.make()
         try:
             async with asyncio.timeout(LOAD_S):
@@ -61,7 +62,7 @@
         if self.found is not None:
             self.take_list(self.found)
             self.take_hands(self.found)
-        self.restore_ms = round((time.monotonic() - began) * 1000)
+        self.restore_ms += round((time.monotonic() - began) * 1000)
 
     async def restore(self, took_over: bool) -> None:
         """Before clients are taken: give the module what was found, and have all of it committed anew.
@@ -69,6 +70,8 @@
         A process that has taken over from another one knows better, and waits for that one's files.
         """
         began = time.monotonic()
+        if self.held and not took_over:
+            await self.load()  # whoever held the files may have died before it told what it knows
         if self.found is not None and not took_over:
             self.take_rows(self.found)
         self.found = None
@@ -138,6 +141,7 @@
     def begin(self, store: Store) -> None:
         """Keep all there is, in place of whatever the files hold."""
         self.store, self.served = store, True
+        log.info("state is kept in %s", self.folder)
         for name, host in self.hosts.items():
             store.put("host", name, host)
         if self.discovery.version is not None:
@@ -157,10 +161,11 @@
 
     def on_failed(self, reason: str) -> None:
         self.retire()
-        self.failures += 1
+        self.held = reason == HELD
+        self.failures += not self.held
         self.ready.set()
         self.driver.give(api.KeepingTurned(False))
-        if reason != HELD or self.served:
+        if self.served or not self.held:
             self.again = self.loop.call_later(AGAIN_S, self.start_anew)
 
     def start_anew(self) -> None:
