State on disk: names that are no text, ranges of marks and pace, no new file after a hand-over

Read again: a host's name that is no text would have ended the writer thread unseen until the disk seemed to lag; a gateway that had a fault and then handed over would have begun a file of its own a minute later. Tests no longer depend on the disk's speed.

--- a/mintford/keeping.py
+++ b/mintford/keeping.py
@@ -190,6 +190,18 @@
         self.alive, self.restarts = alive, restarts
         self.believed = 0.0 <= now - alive <= DOWN_MS
 
+    def check(self, said: list[Any]) -> None:
+        """Whether the numbers of a row of a backend or of the gateway are such as this program writes."""
+        match said:
+            case ["gateway", _, typical, recent, _, samples, rate, _]:
+                good = all(0 <= number <= LARGEST for number in (typical, recent, samples, rate))
+            case ["backend", _, dict(marks), _]:
+                good = all(abs(level) <= LARGEST for level, _ in marks.values())
+            case _:
+                good = False
+        if not good:
+            raise ValueError(f"out of range: {said[:2]}")
+
     def restore(self, now: float, c: Customer, at: float) -> None:
         """Give a customer of a row what time has brought it since, as far as that is sure."""
         for name, most in (("even", 1.0), ("part", 1.0), ("top", 1.0), ("chance", 1.0)):
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -454,6 +454,7 @@
     def on_recovered(self, now: float, event: api.Recovered, _: api.Actions) -> None:
         """Take over a row of an earlier life. Raises ValueError for what this program never wrote."""
         if event.said[:1] != ["customer"]:
+            self.keeping.check(event.said)
             if self.keeping.believed:
                 self.take(now, event.said)
                 self.created, self.recent_at, self.answered_at = (
--- a/roadpulley/recovery.py
+++ b/roadpulley/recovery.py
@@ -230,6 +230,9 @@
 
     def hand_over(self) -> None:
         """Another process serves from now on: it is to have the files."""
+        if self.again is not None:
+            self.again.cancel()
+            self.again = None
         if self.store is not None:
             self.store.close()
             self.retire()
--- a/roadpulley/store.py
+++ b/roadpulley/store.py
@@ -24,7 +24,7 @@
 LARGEST_FILE = 64 * 1024 * 1024  # bytes: some ten times what all rows at their bound take
 LONGEST_ROW, MOST_ROWS = 16 * 1024, 16_384  # characters; of all kinds
 LONGEST_VALUE = 256 * 1024  # bytes that SQLite may put together for one value, whatever a file says
-LONGEST_NAME = 256  # characters of a gateway's name, or of a row's
+LONGEST_NAME = 256  # bytes of a row's name, characters of a gateway's
 APART_S = 0.02  # between two commits: they gather what comes meanwhile
 BEAT_S = 0.5  # a commit comes at least so often, so that the time of an end is known
 PATIENCE_S = 1.5  # for a commit: a slower disk is no use, and the module reckons with twice as long
@@ -63,6 +63,14 @@
     dropped: int
 
 
+def fits(name: str, body: str | None) -> bool:
+    """Whether a row may be kept: neither too long, nor of a name that is no text."""
+    try:
+        return len(name.encode()) <= LONGEST_NAME and len(body or "") <= LONGEST_ROW
+    except UnicodeEncodeError:
+        return False
+
+
 def checksum(gateway: str, kind: str, name: str, at: float, body: str) -> bytes:
     whole = json.dumps([SCHEMA, gateway, kind, name, at, body]).encode()
     return hashlib.blake2b(whole, digest_size=16).digest()
@@ -272,11 +280,11 @@
         body = None if said is None else json.dumps(said, separators=(",", ":"), allow_nan=False)
         with self.changed:
             self.last += 1
-            if len(name) <= LONGEST_NAME and len(body or "") <= LONGEST_ROW:
+            if fits(name, body):
                 self.pending[kind, name] = self.clock(), body
                 self.pending_at = min(self.pending_at, time.monotonic())
             else:
-                log.warning("a row of the state is too long to be kept: %.80s", name)
+                log.warning("a row of the state can't be kept: %.80r", name)
             if self.begun:
                 self.changed.notify()
         if number:
@@ -367,7 +375,7 @@
             self._tell(self._on_found, self.files.open(self.fresh))
             self.files.start()
             self._write()
-        except (sqlite3.Error, OSError, StateError) as error:
+        except (sqlite3.Error, OSError, StateError, ValueError) as error:
             self._give_up(error)
         finally:
             self.files.close()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -20,3 +20,11 @@
 def private_files(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """Each test's gateways start with no files of earlier ones."""
     monkeypatch.setenv("TMPDIR", str(tmp_path))
+
+
+@pytest.fixture(autouse=True)
+def patient_store(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No test depends on the disk's speed, unless it sets these itself."""
+    monkeypatch.setattr("roadpulley.store.PATIENCE_S", 30.0)
+    for name in ("LOAD_S", "HAND_S", "LOCK_S"):
+        monkeypatch.setattr(f"roadpulley.recovery.{name}", 15.0)
