State on disk: a planned end writes all that is left, and a downtime not believed is told

Need: after SIGTERM a customer's reserved part counted as spent, though nothing is spent after the drain. The last rows now show what is left (a customer of burst 2 with 1 left: 1 after a planned end, 0 before; the test fails without the change).

--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -250,6 +250,7 @@
     """From now on all state is kept on disk, in a file that holds nothing yet; or no more."""
 
     on: bool
+    last: bool = False  # nothing more will be spent: the rows may show all that is left
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintford/keeping.py
+++ b/mintford/keeping.py
@@ -168,9 +168,12 @@
 
     def turn(
         self, now: float, on: bool, customers: Mapping[str, Customer], state: Mapping[str, Any],
-        out: api.Actions,
+        out: api.Actions, last: bool = False,
     ) -> None:
         """Begin to keep with a file that holds nothing, or leave off."""
+        if last:
+            for c in [customers[key] for key, r in self.reserves.items() if r.row and key in customers]:
+                self.keep(c.state(), out)
         self.on, self.due = on, math.inf
         self.rows = 0
         for held in (self.reserves, self.waiting, self.changed, self.told):
@@ -185,10 +188,12 @@
 
     # ---- after a restart ----
 
-    def begin(self, now: float, alive: float, restarts: tuple[float, ...]) -> None:
+    def begin(self, now: float, alive: float, restarts: tuple[float, ...], out: api.Actions) -> None:
         """What the file tells of the lives before this one: when it was last written, and the restarts."""
         self.alive, self.restarts = alive, restarts
         self.believed = 0.0 <= now - alive <= DOWN_MS
+        if not self.believed:
+            out.append(api.Remark(f"a downtime of {(now - alive) / 1000:.0f} s is not believed"))
 
     def check(self, said: list[Any]) -> None:
         """Whether the numbers of a row of a backend or of the gateway are such as this program writes."""
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -175,7 +175,7 @@
             api.BesideLeft: self.on_beside_left,
             api.KeepingTurned: self.on_keeping, api.Recovered: self.on_recovered,
             api.Kept: lambda now, event, out: self.keeping.kept(now, event.serial, out),
-            api.Restarted: lambda now, event, _: self.keeping.begin(now, event.alive, event.restarts),
+            api.Restarted: lambda now, event, out: self.keeping.begin(now, event.alive, event.restarts, out),
             api.BackendsChanged: self.on_list, api.BackendHeld: self.on_held,
             api.ZoneHeld: self.on_zone_held, api.RegionsChanged: self.on_regions,
             api.RequestLapsed: lambda _, event, __: self.requests.pop(event.request, None),
@@ -449,7 +449,7 @@
     # ---- the disk ----
 
     def on_keeping(self, now: float, event: api.KeepingTurned, out: api.Actions) -> None:
-        self.keeping.turn(now, event.on, self.customers, self.state(), out)
+        self.keeping.turn(now, event.on, self.customers, self.state(), out, event.last)
 
     def on_recovered(self, now: float, event: api.Recovered, _: api.Actions) -> None:
         """Take over a row of an earlier life. Raises ValueError for what this program never wrote."""
--- a/roadpulley/recovery.py
+++ b/roadpulley/recovery.py
@@ -247,8 +247,10 @@
         if self.again is not None:
             self.again.cancel()
         if self.store is not None:
-            self.store.close()
-            self.store.join()
+            store = self.store
+            self.driver.give(api.KeepingTurned(False, last=True))
+            store.close()
+            store.join()
 
     # ---- figures ----
 
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -216,6 +216,7 @@
         while disk.ask():
             disk.commit()
         disk.crash(down, jump)
+        assert any(isinstance(a, api.Remark) for _, a in disk.world.log) is not bool(most)
         let_in = 0
         while disk.ask():
             disk.commit()
@@ -223,6 +224,22 @@
         assert (let_in == 0) if not most else let_in >= most, (down, jump)
 
 
+def test_a_planned_end_keeps_all_that_is_left() -> None:
+    fast = api.Plan("fast", rate=1, burst=80)
+    left = []
+    for planned in (False, True):
+        disk = Disk(plans=(fast,))
+        for _ in range(5):
+            assert disk.ask(plan="fast")
+            disk.commit()
+        if planned:
+            disk.give(api.KeepingTurned(False, last=True))
+            disk.commit()
+        disk.crash(100)
+        left.append(disk.world.gateway.customers["c"].tokens)
+    assert left[1] == 35 and left[0] < 30
+
+
 def test_a_lease_that_ended_meanwhile_reverts() -> None:
     disk = Disk(may_count=True)
     disk.ask()
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -71,6 +71,18 @@
     return number
 
 
+def test_a_planned_end_keeps_what_is_left(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(Kept(tmp_path / "s", Backend())) as world:
+            peer = await world.client()
+            assert await world.ask(peer, plan=b"basic", name=b"wipe") == b"value"
+            await committed(world)
+        async with running(Kept(tmp_path / "s", Backend())) as world:
+            assert await spend(world) == 1  # after a kill it would count as spent
+
+    in_loop(scenario)
+
+
 def lose_tmp(tmp_path: Path) -> None:
     for path in tmp_path.glob("roadpulley-*"):
         path.unlink()
