State on disk: a list that is not whole there is left out, as its rest would not be told again

Read again: a host row dropped, too long or beyond the bound left a list under a version that claims it. The version's row now counts its hosts. The new test fails without the count.

--- a/roadpulley/recovery.py
+++ b/roadpulley/recovery.py
@@ -36,7 +36,8 @@
         self.loop = asyncio.get_running_loop()
         self.store: Store | None = None
         self.found: Found | None = None
-        self.hosts: dict[str, dict[str, Any]] = {}  # the last list
+        self.hosts: dict[str, dict[str, Any]] = {}  # the last list, as far as it is kept
+        self.partial = False  # some of it is not kept: until the next whole list, this one is of no use
         self.again: asyncio.TimerHandle | None = None
         self.ready = asyncio.Event()  # the first commit of this life has come, or never will
         self.held = False  # another process has them
@@ -91,14 +92,16 @@
         if "list" not in rows:
             return
         try:
-            known = read_list({"seq": rows["list"].said, "whole": True, "hosts": hosts})
-        except DiscoveryError as error:
+            if len(hosts) != rows["list"].said["hosts"]:
+                raise DiscoveryError("it is not whole")  # and what is missing would not be told again
+            known = read_list({"seq": rows["list"].said["seq"], "whole": True, "hosts": hosts})
+        except (DiscoveryError, KeyError, TypeError) as error:
             self.dropped += 1
             return log.info("the list on disk is left out: %s", error)
         if self.discovery.version is None or known.version > self.discovery.version:
             self.driver.members(api.ListScope.SAVED, known.members)
             self.discovery.version = known.version
-            self.hosts = {str(host["host"]): host for host in hosts}
+            self.hosts, self.partial = {str(host["host"]): host for host in hosts}, False
             self.restored += len(hosts)
 
     def take_hands(self, found: Found) -> None:
@@ -145,7 +148,7 @@
         for name, host in self.hosts.items():
             store.put("host", name, host)
         if self.discovery.version is not None:
-            store.put("list", "seq", self.discovery.version)
+            store.put("list", "seq", self.list_row(self.discovery.version))
         for kind, bans in self.hands.items():
             for name, at in bans.out.items():
                 store.put(kind, name, {"out": True, "at": at})
@@ -191,7 +194,7 @@
                 self.store.put(kind, str(name), said, serial)
 
     def keep_list(self, raw: dict[str, Any]) -> None:
-        """What discovery told. The version comes last: what is missing of it is told again."""
+        """What discovery told. The version comes last, with the number of hosts that it is of."""
         told = {str(host["host"]): host for host in raw.get("hosts") or ()}
         gone = {name for name, host in told.items() if host["health"] == "removed"}
         if raw.get("whole"):
@@ -205,8 +208,13 @@
                 self.hosts[name] = {field: told[name][field] for field in FIELDS if field in told[name]}
                 if self.store is not None:
                     self.store.put("host", name, self.hosts[name])
+        missed = not (told.keys() - gone) <= self.hosts.keys()
+        self.partial = missed or (self.partial and not raw.get("whole"))
         if self.store is not None:
-            self.store.put("list", "seq", int(raw["seq"]))
+            self.store.put("list", "seq", self.list_row(int(raw["seq"])))
+
+    def list_row(self, version: int) -> dict[str, int]:
+        return {"seq": version, "hosts": -1 if self.partial else len(self.hosts)}
 
     def keep_hand(self, kind: str, name: str, out: bool, since: float) -> int:
         return self.store.put(kind, name, {"out": out, "at": since}) if self.store is not None else 0
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -152,6 +152,32 @@
     assert Budget(256, own=OWN + OF_STATE).total == Budget(256).total + OF_STATE
 
 
+def test_a_list_that_is_not_whole_on_disk_is_left_out(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play(*first: str) -> None:
+        world = Kept(tmp_path / "s", Backend(), Backend())
+        async with running(world):
+            assert [asked.rpartition("=")[2] for asked in world.discovery.requests[:1]] == list(first)
+            world.discovery.change(50, {**host("h0", 1), "health": "removed"})
+            while (await stats(world))["discovered"] != 1:
+                await asyncio.sleep(0.01)
+
+    async def scenario() -> None:
+        await play("41")
+        with sqlite3.connect(tmp_path / "s" / FILE) as database:
+            database.execute("DELETE FROM rows WHERE kind='host'")
+        database.close()
+        await play("41")  # a host is missing, and would not be told again
+        await play("50")
+        shutil.rmtree(tmp_path / "s")
+        monkeypatch.setattr(recovery, "MOST_HOSTS", 1)
+        await play("41")
+        await play("41")  # of two hosts one was kept
+
+    in_loop(scenario)
+
+
 @pytest.mark.parametrize("given", [5, ["a"], {"a": 1}, True, "a\0b"])
 def test_a_malformed_folder_refuses_the_start_in_one_line(given: object) -> None:
     with pytest.raises(ConfigError) as error:
