The circle of imports between rules.py and keeping.py is gone: a customer has its own file

Need: keeping.py named Customer of rules.py, which imports keeping.py, for type checks alone. Change: Customer, with its two constants, is in mintford/customers.py, one of the policy files; no decision changes.

--- a/mintford/keeping.py
+++ b/mintford/keeping.py
@@ -10,12 +10,10 @@
 import math
 import random
 from collections.abc import Mapping
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from . import interface as api
-
-if TYPE_CHECKING:
-    from .rules import Customer
+from .customers import Customer
 
 PARTS, AHEAD_MS = 4.0, 100.0  # reserved at a time: a part of the burst, or what this time brings if more
 LAG_MS = 3_000.0  # what such a time brought may have been spent unreserved; a commit has half of it
