The lab: real gateways as processes, faults on links between them, and a judge that asks none

Change: fleetlab/ with its own extra: stand-ins (those of tests/loopback.py moved there, no second copy), a link for each path, processes with power losses and disks, scenarios in TOML with a digest of what a seed decides, a judge of the protocol's rules over all gateways, records, a report and comparisons, a fixture for pytest, six scenarios and two large.

--- /dev/null
+++ b/fleetlab/__init__.py
@@ -0,0 +1,1 @@
+"""The lab: plays many real gateways with faults between them, and judges what they did."""
--- /dev/null
+++ b/fleetlab/processes.py
@@ -0,0 +1,187 @@
+"""Gateways as processes: their files, their starts and ends, and what a power loss leaves of them."""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import json
+import os
+import shutil
+import signal
+import sys
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+from .addresses import LISTEN, OPERATOR, Net
+from .records import Records
+
+ROOT = Path(__file__).resolve().parents[1]
+RUN = (sys.executable, "-OO", "-m", "roadpulley")  # as deploy/balancer.toml names it
+ALTERED = (sys.executable, "-OO", "-m", "fleetlab.launch")
+PR_SET_PDEATHSIG = 1
+LOG_TAIL = 400  # bytes of a log that a crash is told with
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def die_with_lab() -> None:
+    """In the child, before the program: the kernel ends it when the lab ends, however that happens."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Gateway:
+    """One gateway over all its lives: its address, its files, its process.
+
+    `config` gives the configuration of the next life. Whoever ends a life says so first, so that an end that
+    nobody asked for is told as a crash.
+    """
+
+    def __init__(
+        self, name: str, index: int, zone: str, folder: Path, net: Net, records: Records
+    ) -> None:
+        self.name, self.index, self.zone, self.records = name, index, zone, records
+        self.host = net.gateway(index)
+        self.listen, self.operator = (self.host, LISTEN), (self.host, OPERATOR)
+        self.agent_at = self.counter_at = self.line_at = self.listen  # until their links are there
+        self.folder = folder / "gateways" / name
+        self.tmp, self.state = self.folder / "tmp", self.folder / "state"
+        self.copies = self.folder / "copies"
+        self.config: Callable[[], dict[str, Any]] = dict
+        self.alterations: list[str] = []
+        self.clock_s = 0.0
+        self.process: asyncio.subprocess.Process | None = None
+        self.life = 0
+        self.expected = False  # the end of this life
+        self.stopped = False
+        self.awaited = False  # this life has yet to say that it is ready
+        self.watching: asyncio.Task[None] | None = None
+        self.changed: dict[str, Any] = {}  # top-level keys of the configuration, by faults
+        self.removed: set[str] = set()
+
+    @property
+    def runs(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    def prepare(self) -> None:
+        for folder in (self.tmp, self.state, self.copies):
+            folder.mkdir(parents=True, exist_ok=True)
+
+    def write_config(self, text: str | None = None) -> None:
+        given = {k: v for k, v in (self.config() | self.changed).items() if k not in self.removed}
+        whole = self.folder / "config.json.new"
+        whole.write_text(json.dumps(given) if text is None else text)
+        whole.rename(self.folder / "config.json")
+
+    async def start(self) -> None:
+        """Start the next life; raises OSError if no process can be had."""
+        self.life += 1
+        self.expected = self.stopped = False
+        self.write_config()
+        given = {
+            "LB_CONFIG": str(self.folder / "config.json"),
+            "LB_NAME": self.name,
+            "TMPDIR": str(self.tmp),
+            "PYTHONDONTWRITEBYTECODE": "1",
+        }
+        command: tuple[str, ...] = RUN
+        if self.alterations or self.clock_s:
+            command = (*ALTERED, f"--clock={self.clock_s}", *self.alterations)
+        kept = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
+        with (self.folder / f"life-{self.life}.log").open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *command,
+                cwd=ROOT,
+                env=kept | given,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,  # an interrupt at the terminal is the lab's own
+                preexec_fn=die_with_lab,
+            )
+        self.records.add("life", g=self.name, life=self.life, what="start", pid=self.process.pid)
+        self.watching = asyncio.get_running_loop().create_task(self.watch(self.process, self.life))
+
+    async def watch(self, process: asyncio.subprocess.Process, life: int) -> None:
+        code = await process.wait()
+        tail = ""
+        if not self.expected:
+            tail = (self.folder / f"life-{life}.log").read_bytes()[-LOG_TAIL:].decode("utf-8", "replace")
+        self.records.add(
+            "life", g=self.name, life=life, what="exit", code=code, expected=self.expected, log=tail
+        )
+
+    def signal(self, number: signal.Signals, what: str) -> None:
+        """Tell the records, and then the process, if it runs."""
+        if self.process is not None and self.runs:
+            self.records.add("life", g=self.name, life=self.life, what=what)
+            self.process.send_signal(number)
+
+    async def kill(self, what: str = "kill") -> None:
+        self.expected = True
+        self.signal(signal.SIGKILL, what)
+        await self.gone()
+
+    async def term(self, patience_s: float) -> None:
+        """SIGTERM, and SIGKILL to one that ignores it for so long."""
+        self.expected = True
+        self.signal(signal.SIGTERM, "term")
+        try:
+            async with asyncio.timeout(patience_s):
+                await self.gone()
+        except TimeoutError:
+            await self.kill("forced")
+
+    async def gone(self) -> None:
+        if self.watching is not None:
+            await asyncio.shield(self.watching)
+
+    def stop(self, on: bool) -> None:
+        self.stopped = on
+        self.signal(signal.SIGSTOP if on else signal.SIGCONT, "stop" if on else "cont")
+
+    def hup(self, change: dict[str, Any], remove: Iterable[str], text: str | None) -> None:
+        self.changed |= change
+        self.removed |= set(remove)
+        self.write_config(text)
+        self.signal(signal.SIGHUP, "hup")
+
+    # ---- power ----
+
+    def copy_state(self, name: str) -> None:
+        """Keep a copy of the state folder as it is now, for a disk that is put back later."""
+        into = self.copies / name
+        shutil.rmtree(into, ignore_errors=True)
+        shutil.copytree(self.state, into, ignore_dangling_symlinks=True)
+
+    def power_off(self, disk: str, copy: str, cut_bytes: int) -> None:
+        """What is left of the machine's files once its power is gone; the process must have ended."""
+        shutil.rmtree(self.tmp, ignore_errors=True)
+        self.tmp.mkdir(parents=True)
+        if disk in ("lost", "old"):
+            shutil.rmtree(self.state, ignore_errors=True)
+            self.state.mkdir()
+        if disk == "old":
+            shutil.copytree(self.copies / copy, self.state, dirs_exist_ok=True)
+        if disk == "cut":
+            cut_end(self.state, cut_bytes)
+        self.records.add("disk", g=self.name, how=disk)
+
+    # ---- what it costs ----
+
+    def cost(self) -> tuple[float, int] | None:
+        """CPU seconds and resident kilobytes of the life that runs."""
+        if self.process is None or not self.runs:
+            return None
+        try:
+            words = Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        except OSError:
+            return None
+        return (int(words[11]) + int(words[12])) / TICKS, int(words[21]) * os.sysconf("SC_PAGESIZE") // 1024
+
+
+def cut_end(folder: Path, number: int) -> None:
+    """Cut so many bytes off the file that was written last, as a disk does that loses its last writes."""
+    files = sorted((f for f in folder.rglob("*") if f.is_file()), key=lambda f: f.stat().st_mtime_ns)
+    whole = [f for f in files if f.stat().st_size > 0]
+    if whole:
+        os.truncate(whole[-1], max(0, whole[-1].stat().st_size - number))
--- a/measure/connections.py
+++ b/measure/connections.py
@@ -20,9 +20,13 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parents[1]
-sys.path.insert(0, str(HERE / "tests"))
+sys.path.insert(0, str(HERE))
 
-from loopback import LOCAL, Backend, Counter, Discovery, Peer, World, encode, request  # noqa: E402
+from fleetlab.agents import Discovery  # noqa: E402
+from fleetlab.alone import World, request  # noqa: E402
+from fleetlab.backends import Backend  # noqa: E402
+from fleetlab.counters import Counter  # noqa: E402
+from fleetlab.sockets import LOCAL, Peer, encode  # noqa: E402
 
 CLIENTS, SLOW, ASKS = 48, 24, 20  # proper clients, those that send a request in halves, requests of each
 COMING = ["silent"] * 100 + ["garbling"] * 50 + ["leaving"] * 50  # come before each round
--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -22,11 +22,13 @@
 from typing import Any
 
 HERE = Path(__file__).resolve().parents[1]
-sys.path[:0] = [str(HERE / "tests"), str(HERE / "measure")]
+sys.path[:0] = [str(HERE), str(HERE / "measure")]
 
 from connections import holds  # noqa: E402
-from loopback import LOCAL, Backend, Peer, World  # noqa: E402
 
+from fleetlab.alone import World  # noqa: E402
+from fleetlab.backends import Backend  # noqa: E402
+from fleetlab.sockets import LOCAL, Peer  # noqa: E402
 from roadpulley.store import FILE, Files  # noqa: E402
 
 PLAYS, REQUESTS, CUSTOMERS = 3, 6_000, 300
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,8 @@
 import pytest
 from hypothesis import settings
 
+from fleetlab.fixture import lab  # noqa: F401
+
 settings.register_profile("repeatable", derandomize=True, deadline=None, database=None)
 settings.load_profile("repeatable")
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -8,8 +8,10 @@
 from typing import Any
 
 import pytest
-from loopback import LOCAL, Backend, Peer, Reply, Server, World, encode, in_loop, request, running, until
 
+from fleetlab.alone import World, in_loop, request, running
+from fleetlab.backends import Backend
+from fleetlab.sockets import LOCAL, Peer, Reply, Server, encode, until
 from mintford.interface import BackendState, Outcome
 from roadpulley import backends as module
 from roadpulley.backends import Attempt, Backends
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,8 +6,10 @@
 
 import hiredis
 import pytest
-from loopback import Backend, Peer, Reply, Wire, World, encode, in_loop, request, running, until
 
+from fleetlab.alone import Wire, World, in_loop, request, running
+from fleetlab.backends import Backend
+from fleetlab.sockets import Peer, Reply, encode, until
 from roadpulley import clients
 from roadpulley.descriptors import Budget
 from roadpulley.figures import Figures
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -18,12 +18,14 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from loopback import LOCAL, Backend, Peer, Reply, Wire, World, encode, in_loop, request, running, until
 from test_backends import Try, pool
 from test_driver import Scene
 from test_process import connect, start
 from test_streams import Cutting
 
+from fleetlab.alone import Wire, World, in_loop, request, running
+from fleetlab.backends import Backend
+from fleetlab.sockets import LOCAL, Peer, Reply, encode, until
 from mintford.interface import BackendState, Outcome
 from mintford.shares import FairShares
 from roadpulley import accept, clients
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -7,9 +7,11 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from loopback import LOCAL, Backend, Reply, World, in_loop, request, running, until
-from loopback import Counter as Service
 
+from fleetlab.alone import World, in_loop, request, running
+from fleetlab.backends import Backend
+from fleetlab.counters import Counter as Service
+from fleetlab.sockets import LOCAL, Reply, until
 from mintford.interface import Outcome
 from roadpulley import counter as module
 from roadpulley.clock import Timer, Timers, now_ms
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,8 +7,11 @@
 from typing import Any
 
 import pytest
-from loopback import LOCAL, Backend, Discovery, World, host, in_loop, running, until
 
+from fleetlab.agents import Discovery, host
+from fleetlab.alone import World, in_loop, running
+from fleetlab.backends import Backend
+from fleetlab.sockets import LOCAL, until
 from mintford.interface import BackendState, ListScope
 from roadpulley import discovery as module
 from roadpulley.descriptors import Budget
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -6,8 +6,9 @@
 
 import pytest
 from helpers import settings
-from loopback import LOCAL, in_loop, request, until
 
+from fleetlab.alone import in_loop, request
+from fleetlab.sockets import LOCAL, until
 from mintford import interface as api
 from roadpulley.backends import Backends
 from roadpulley.clients import ClientConnection, ClientServer, Slot, parse_command
--- a/tests/test_hand.py
+++ b/tests/test_hand.py
@@ -10,9 +10,12 @@
 import pytest
 from helpers import World as Decisions
 from helpers import backends, entry, sends
-from loopback import Backend, World, host, in_loop, running, until
 from test_operators import call, stats
 
+from fleetlab.agents import host
+from fleetlab.alone import World, in_loop, running
+from fleetlab.backends import Backend
+from fleetlab.sockets import until
 from mintford import interface as api
 from roadpulley.bans import Bans, private_file
 from roadpulley.clock import Timers
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,532 @@
+"""The lab's parts, each alone: scenarios, links, stand-ins, the judge, the record."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import resource
+import socket
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fleetlab import scenario
+from fleetlab.addresses import AddressError, Net
+from fleetlab.agents import Agent, Catalog, host
+from fleetlab.alone import in_loop
+from fleetlab.backends import Machine, Rack
+from fleetlab.counters import MeteredCounter
+from fleetlab.judge import Judge
+from fleetlab.links import Flow, Ills, Joint, TcpLink, UdpLink, Way
+from fleetlab.links import Path as LinkPath
+from fleetlab.play import Play, PlayError
+from fleetlab.records import FILE, RecordError, Records, read
+from fleetlab.scenario import Backends, CounterGiven, ScenarioError
+from fleetlab.sockets import Peer, Server, until
+
+GOOD = """
+name = "good"
+about = "A scenario."
+duration_s = 10
+[fleet]
+gateways = 3
+zones = ["a", "b"]
+[backends]
+count = 2
+[load]
+rate = 20
+"""
+
+
+def faulty(text: str) -> str:
+    return GOOD + "[[faults]]\n" + text
+
+
+@pytest.mark.parametrize(
+    ("text", "key", "expected"),
+    [
+        ("name = ", "not TOML", ""),
+        (GOOD.replace("gateways = 3", "gateways = 0"), "$.fleet.gateways", ">= 1"),
+        (GOOD.replace("rate = 20", "rate = 'x'"), "$.load.rate", "float"),
+        (GOOD + "colour = 1", "$.load", "unknown field `colour`"),
+        (GOOD.replace("about", "abuot"), "`abuot`", "unknown field"),
+        (faulty("kind = 'kill'\nat_s = 1\ngateways = ['g7']"), "faults[0].gateways", "g0 to g2"),
+        (faulty("kind = 'kill'\nat_s = -1\ngateways = ['g1']"), "$.faults[0].at_s", ">= 0"),
+        (faulty("kind = 'stop'\nat_s = 1\nfor_s = 20\ngateways = ['*']"), "faults[0].for_s", "duration_s"),
+        (faulty("kind = 'kill'\nat_s = 11\ngateways = ['g1']"), "faults[0].at_s", "at most duration_s"),
+        (faulty("kind = 'ruin'\nat_s = 1"), "$.faults[0].kind", "ruin"),
+        (faulty("kind = 'link'\nat_s = 1\nfor_s = 1\nbetween = ['x']\nand = ['b0']"), "between", "got 'x'"),
+        (faulty("kind = 'power'\nat_s = 1\ngateways = ['*']\ndisks = {g1 = 'lost'}"), "disks", "= true"),
+        (faulty("kind = 'operators'\nat_s = 1\ngateways=['*']\ncall='backends/down'\nid='b9'"), "id", "b9"),
+    ],
+)
+def test_a_bad_scenario_is_told_by_file_key_and_what_was_expected(
+    tmp_path: Path, text: str, key: str, expected: str
+) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text(text)
+    with pytest.raises(ScenarioError) as error:
+        scenario.load(path)
+    assert str(path) in str(error.value) and key in str(error.value) and expected in str(error.value)
+
+
+def test_the_shipped_scenarios_are_good_and_a_seed_fixes_all_that_chance_decides(tmp_path: Path) -> None:
+    names = {path.stem for path in scenario.shipped()}
+    assert names >= {"calm", "kill-seven-in-ten", "zone-lost", "split", "power-loss", "straggler"}
+    for path in scenario.shipped():
+        found = scenario.load(path)
+        assert found.name == path.stem
+    digests = [scenario.timetable(scenario.load(scenario.find("split")), seed).digest for seed in (1, 1, 2)]
+    assert digests[0] == digests[1] != digests[2]
+    with pytest.raises(ScenarioError):
+        scenario.find("no-such")
+    kill = msgspec.convert(
+        {"kind": "kill", "at_s": 1, "gateways": ["*"], "part": 0.7, "order": "chance"}, scenario.AnyFault
+    )
+    one = scenario.load(scenario.find("calm"))
+    one.faults.append(kill)
+    struck = scenario.timetable(one, 5).lots[0]
+    assert len(struck) == 4 == len(set(struck)) and struck == scenario.timetable(one, 5).lots[0]
+
+
+# ---- links ----
+
+
+class Echo(Server):
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(4096):
+            writer.write(data)
+
+
+@asynccontextmanager
+async def linked() -> AsyncIterator[tuple[TcpLink, LinkPath, Echo]]:
+    net, echo, path = Net(), Echo(), LinkPath("a", "b")
+    await echo.start()
+    joints: dict[Any, Joint] = {}
+    host_of = net.lab()
+    address, at = (host_of, net.port(host_of)), ("127.0.0.1", echo.port)
+    link = TcpLink(address, at, lambda _: path, random.Random(1), joints)
+    link.own(path)
+    link.listen()
+    try:
+        yield link, path, echo
+    finally:
+        link.close()
+        await echo.stop()
+        net.close()
+        await until(lambda: not joints)
+
+
+async def opened(link: TcpLink) -> Peer:
+    return Peer(*await asyncio.open_connection(*link.address))
+
+
+async def comes(peer: Peer, within_s: float = 0.15) -> bytes | None:
+    """What comes within so short a time that nothing may; None: silence."""
+    try:
+        async with asyncio.timeout(within_s):
+            return await peer.reader.read(100)
+    except TimeoutError:
+        return None
+
+
+def test_what_a_cut_holds_comes_after_it_and_new_connections_do_not_come_up() -> None:
+    async def scenario() -> None:
+        async with linked() as (link, path, echo):
+            peer = await opened(link)
+            peer.writer.write(b"one")
+            assert await peer.reader.readexactly(3) == b"one"
+            for way in (path.there, path.back):
+                way.put(1, Ills(held=True))
+            path.close(1, "cut")
+            peer.writer.write(b"two")
+            assert await comes(peer) is None
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.3):
+                    await opened(link)
+            accepted = echo.accepted
+            path.open(1)
+            path.there.put(1, None)
+            path.back.put(1, None)
+            assert await peer.reader.readexactly(3) == b"two"
+            again = await opened(link)
+            again.writer.write(b"new")
+            assert await again.reader.readexactly(3) == b"new" and echo.accepted == accepted + 1
+            peer.close()
+            again.close()
+
+    in_loop(scenario)
+
+
+def test_one_way_is_held_and_the_other_goes_on() -> None:
+    async def scenario() -> None:
+        async with linked() as (link, path, echo):
+            peer = await opened(link)
+            path.back.put(1, Ills(held=True))
+            peer.writer.write(b"in")
+            await until(lambda: path.carried == 4)  # it came to the far end, which has answered
+            assert await comes(peer) is None
+            path.back.put(1, None)
+            assert await peer.reader.readexactly(2) == b"in"
+            peer.close()
+
+    in_loop(scenario)
+
+
+def test_refused_reset_and_half_closed() -> None:
+    async def scenario() -> None:
+        async with linked() as (link, path, echo):
+            peer = await opened(link)
+            peer.writer.write(b"x")
+            assert await peer.reader.readexactly(1) == b"x"
+            path.close(1, "refuse")
+            path.reset()
+            with pytest.raises(ConnectionResetError):
+                await peer.reader.readexactly(1)
+            with pytest.raises(ConnectionRefusedError):
+                await opened(link)
+            path.open(1)
+            peer = await opened(link)
+            peer.writer.write(b"last")
+            peer.writer.write_eof()
+            assert await peer.reader.read() == b"last"  # its end came through, and the other's back
+            peer.close()
+
+    in_loop(scenario)
+
+
+@settings(max_examples=20)
+@given(st.lists(st.integers(0, 255), min_size=1, max_size=30), st.integers(0, 1000))
+def test_a_stream_keeps_its_order_under_any_delay_and_loss(pieces: list[int], seed: int) -> None:
+    async def scenario() -> None:
+        got: list[bytes | None] = []
+        way = Way()
+        flow = Flow(way, random.Random(seed), got.append)
+        for number, piece in enumerate(pieces):
+            if number == len(pieces) // 2:
+                way.put(1, Ills(delay_s=0.001, jitter_s=0.003, loss=0.05))
+            flow.feed(bytes([piece]))
+        way.put(1, None)
+        flow.feed(None)
+        await until(lambda: got and got[-1] is None)
+        assert got[:-1] == [bytes([piece]) for piece in pieces]
+
+    in_loop(scenario)
+
+
+def test_datagrams_are_lost_doubled_and_reordered_by_the_path_of_their_sender() -> None:
+    async def scenario() -> None:
+        net = Net()
+        loop, got = asyncio.get_running_loop(), list[bytes]()
+
+        class Taker(asyncio.DatagramProtocol):
+            def datagram_received(self, data: bytes, addr: Any) -> None:
+                got.append(data)
+
+        place = (net.lab(), net.port(net.lab()))
+        taker, _ = await loop.create_datagram_endpoint(Taker, local_addr=place)
+        paths = {net.gateway(0): LinkPath("g0", "x"), net.gateway(1): LinkPath("g1", "x")}
+        line = UdpLink(place, paths.get, random.Random(3))
+        through = (net.lab(), net.port(net.lab()))
+        await loop.create_datagram_endpoint(lambda: line, local_addr=through)
+        senders = []
+        for host_of in (*paths, net.gateway(2)):
+            sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sender.bind((host_of, 0))
+            senders.append(sender)
+        paths[net.gateway(0)].there.put(1, Ills(loss=1.0))
+        paths[net.gateway(1)].there.put(1, Ills(duplicate=1.0))
+        for sender in senders:  # the third is nobody's
+            sender.sendto(b"%d" % senders.index(sender), through)
+        await until(lambda: len(got) == 2 and line.counts["taken"] == 3)
+        assert got == [b"1", b"1"] and line.counts["lost"] == 1
+        paths[net.gateway(1)].there.put(1, Ills(reorder=0.5))
+        for number in range(40):
+            senders[1].sendto(b"%02d" % number, through)
+        await until(lambda: len(got) == 42)
+        assert sorted(got[2:]) == [b"%02d" % n for n in range(40)] != got[2:]
+        for closing in (*senders, taker, line, net):
+            closing.close()
+
+    in_loop(scenario)
+
+
+# ---- stand-ins ----
+
+
+class NoRecords(Records):
+    """Keeps events in memory alone."""
+
+    def __init__(self) -> None:
+        self.events_of: list[dict[str, Any]] = []
+        self.zero = time.monotonic()
+
+    def add(self, event_name: str, /, **given: Any) -> None:
+        self.events_of.append({"e": event_name, **given})
+
+
+def test_a_cold_machine_warms_evenly_and_falls_over_when_sent_too_much() -> None:
+    machine = Machine(Backends(count=1, cores=4, start_capacity=0.2, warm_s=10.0))
+    assert machine.warmth(0.0) == 1.0 and machine.pressed(0.0, 1e9, "g0") is None
+    machine.start(100.0)
+    assert [round(machine.warmth(at), 2) for at in (100.0, 105.0, 110.0)] == [0.2, 0.6, 1.0]
+    assert machine.capacity(100.0) == pytest.approx(800.0)
+    bears = 3.0 * 800.0 * 3 + 400.0  # three times its capacity over three seconds, and the slack
+    assert machine.pressed(100.0, bears - 1, "g0") is None and not machine.fallen
+    assert machine.pressed(100.1, 200.0, "g1") == {"g0": bears - 1, "g1": 200.0} and machine.fallen
+    machine.start(200.0)
+    assert not machine.fallen and machine.pressed(200.0, 100.0, "g0") is None
+
+
+def test_a_rack_knows_a_key_for_its_time_and_no_longer() -> None:
+    rack = Rack()
+    assert rack.took("k", b"first", 10.0, 5.0) is None
+    assert rack.took("k", b"second", 14.9, 5.0) == b"first"
+    assert rack.took("k", b"third", 15.1, 5.0) is None
+    assert len(rack.seen) == 1
+
+
+def test_the_counter_takes_its_calls_a_second_turns_away_the_rest_and_comes_back_empty() -> None:
+    async def scenario() -> None:
+        counter = MeteredCounter(CounterGiven(per_s=10.0, queue=3), NoRecords(), lambda source: "g0")
+        answers = [counter.call([b"tally", b"n", b"2", b"4000"])[1] for _ in range(6)]
+        assert answers[:3] == [b"ok 2\r\n", b"ok 4\r\n", b"ok 6\r\n"] and answers[-1] == b"busy\r\n"
+        assert counter.call([b"ping"])[1] == b"pong\r\n" and counter.call([b"tally"])[1] == b"error\r\n"
+        counter.empty()
+        counter.free_at = 0.0
+        assert counter.call([b"tally", b"n", b"1", b"4000"])[1] == b"ok 1\r\n"
+        counter.silent = True
+        assert counter.call([b"tally", b"n", b"1", b"4000"])[0] == float("inf")
+        await counter.start()
+        peers = [await asyncio.open_connection("127.0.0.1", counter.port) for _ in range(33)]
+        for _, writer in peers[:32]:
+            writer.write(b"ping\r\n")
+        assert [await reader.readline() for reader, _ in peers[:32]] == [b"pong\r\n"] * 32
+        with pytest.raises(ConnectionError):
+            await peers[32][0].readexactly(1)
+        for _, writer in peers:
+            writer.close()
+        await counter.stop()
+
+    in_loop(scenario)
+
+
+def test_an_agent_is_late_silent_old_empty_or_broken_off() -> None:
+    async def scenario() -> None:
+        records = NoRecords()
+        catalog = Catalog(records)
+        catalog.begin([host("b0", 1), host("b1", 2)])
+        agent = Agent("g0", catalog, records, 0.0, lambda name: "127.0.0.1:1")
+        await agent.start()
+
+        async def lines(target: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+            reader, writer = await asyncio.open_connection("127.0.0.1", agent.port)
+            writer.write(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            return reader, writer
+
+        async def change(reader: asyncio.StreamReader) -> dict[str, Any]:
+            while True:
+                line = await reader.readline()
+                if line.startswith(b"{"):
+                    return dict(msgspec.json.decode(line))
+
+        reader, writer = await lines("/catalog/members?stream=1&index=1")
+        await until(lambda: agent.watches)
+        catalog.change("b0", health="draining")
+        first = await change(reader)
+        assert first["seq"] == 2 and first["hosts"][0]["health"] == "draining" and not first["whole"]
+        agent.stick(True)
+        catalog.change("b1", health="removed")
+        await until(lambda: agent.held)
+        assert agent.seq == 2
+        agent.stick(False)
+        assert (await change(reader))["seq"] == 3
+        agent.void(True)
+        assert (await change(reader))["hosts"] == []
+        agent.void(False)
+        assert [one["host"] for one in (await change(reader))["hosts"]] == ["b0"]
+        agent.break_off()
+        with pytest.raises(ConnectionError):
+            await reader.readexactly(100_000)
+        again, writer = await lines("/catalog/members?stream=1&index=1")
+        assert {one["host"] for one in (await change(again))["hosts"]} == {"b0", "b1"}  # what it missed
+        told = [e for e in records.events_of if e["e"] == "told"]
+        assert [e["seq"] for e in told] == [2, 3, 3, 3, 3]
+        writer.close()
+        await agent.stop()
+
+    in_loop(scenario)
+
+
+# ---- the judge ----
+
+BACKENDS = [["b0", "a", "r"], ["b1", "a", "s"]]
+PLAY = {"t": -1.0, "e": "play", "gateways": ["g0", "g1", "g2"], "backends": BACKENDS}
+
+
+def ask(at: float, cls: str = "kalkyl", **more: Any) -> dict[str, Any]:
+    given = {"id": "1", "g": "g0", "c": "c", "cls": cls, "plan": "bas", "units": 1, "d": 1000, "k": 0}
+    return {"t": at, "e": "ask", **given, **more}
+
+
+def ans(at: float, how: str, **more: Any) -> dict[str, Any]:
+    return {"t": at, "e": "ans", "id": "1", "g": "g0", "how": how, **more}
+
+
+def got(at: float, n: int = 1, b: str = "b0", cls: str = "kalkyl", **more: Any) -> dict[str, Any]:
+    given = {"id": "1", "g": "g0", "c": "c", "cls": cls, "plan": "bas", "units": 1, "key": "", "ago": 0.0}
+    return {"t": at, "e": "got", "b": b, "n": n, **given, **more}
+
+
+def end(at: float, how: str, n: int = 1, b: str = "b0") -> dict[str, Any]:
+    return {"t": at, "e": "end", "b": b, "n": n, "id": "1", "how": how}
+
+
+def told(at: float, health: str, born: float = 0.0, whole: bool = False) -> dict[str, Any]:
+    return {"t": at, "e": "told", "g": "g0", "seq": 2, "whole": whole, "hosts": {"b0": [health, born]}}
+
+
+def op(at: float, how: str, way: str = "down") -> dict[str, Any]:
+    return {"t": at, "e": "op", "g": "g0", "call": f"backends/{way}", "id": "b0", "how": how, "status": 200}
+
+
+def life(at: float, what: str, **more: Any) -> dict[str, Any]:
+    return {"t": at, "e": "life", "g": "g0", "life": 1, "what": what, **more}
+
+
+def fell(**parts: float) -> dict[str, Any]:
+    return {"t": 1, "e": "back", "b": "b0", "what": "fell", "parts": parts}
+
+
+VALUE = "made-by-b0-for-1"
+STOR = {"plan": "stor", "units": 4}
+HARD = 50 + 5 + 0.15 * 25  # of stor: its burst, its slack, and what 150 ms bring
+
+
+@pytest.mark.parametrize(
+    ("events", "rules"),
+    [
+        ([ask(0), got(0.1), end(0.2, "served"), ans(0.2, "served", value=VALUE)], []),
+        ([ask(0), ans(0.2, "served", value="made-by-b0-for-2")], ["made-up"]),
+        ([ask(0), ans(0.2, "served", value="x")], ["made-up"]),
+        ([ask(0), ans(0.1, "refused"), ans(0.2, "refused")], ["answers"]),
+        ([ask(0), ans(1.52, "failed")], []),  # late, and earns nothing
+        ([ask(0), ans(1.56, "failed")], ["answers"]),
+        ([ask(0), ans(2.0, "silent")], ["answers"]),
+        ([ask(0), life(0.5, "stop"), ans(2.0, "silent")], []),
+        ([life(0.5, "stop"), life(0.7, "cont"), ask(3), ans(5, "silent")], ["answers"]),
+        ([ask(0), got(0.1), ans(0.2, "broken", fresh=True)], ["answers"]),
+        ([ask(0), ans(0.2, "broken", fresh=True)], []),  # the first of its connection, and nothing sent on
+        ([ask(0), ans(0.2, "broken", fresh=False)], ["answers"]),
+        ([ask(0), {"t": 0.1, "e": "cut", "g": "g0", "until": 1.0}, ans(0.2, "broken", fresh=False)], []),
+        ([ask(0, "lanelofte"), got(0.1), end(0.2, "full"), got(0.3, 2, "b1", "lanelofte")], []),
+        ([ask(0, "lanelofte"), got(0.1), end(0.2, "left"), got(0.3, 2, "b1", "lanelofte")], ["repeats"]),
+        ([ask(0, "lanelofte"), got(0.1), got(0.3, 2, "b1", "lanelofte")], ["repeats"]),
+        ([ask(0), got(0.1), got(0.3, 2, "b1")], []),  # safe to repeat
+        ([ask(0, "spara"), got(0.1), got(0.3, 2, "b0", "spara")], []),
+        ([ask(0, "spara"), got(0.1), got(0.3, 2, "b1", "spara")], ["repeats"]),
+        ([ask(0, "spara"), got(0.1), got(5.2, 2, "b0", "spara")], ["repeats"]),
+        ([ask(0, "lanelofte"), got(0.1), end(0.2, "left"), ans(0.3, "refused")], ["refusals"]),
+        ([ask(0, "lanelofte"), got(0.1), end(0.2, "full"), ans(0.3, "refused")], []),
+        ([ask(0), got(0.1), ans(0.3, "refused")], []),
+        ([told(0, "draining"), got(0.54)], []),
+        ([told(0, "draining"), got(0.56)], ["drains"]),
+        ([told(0, "draining"), got(0.9, ago=0.4)], []),  # its first byte counts
+        ([told(0, "draining"), told(0.3, "up"), got(0.9)], []),
+        ([told(0, "draining"), life(0.5, "start"), got(0.9)], []),  # a new life has not been told
+        ([told(0, "up"), {**told(0, "up", whole=True), "hosts": {}}, got(0.9)], ["drains"]),
+        ([op(0, "called"), op(0.1, "yes"), got(0.7)], ["bans"]),
+        ([op(0, "called"), op(0.1, "yes"), life(1, "start"), got(2)], ["bans"]),  # it outlives the process
+        ([op(0, "called"), op(0.1, "no"), got(0.7)], []),
+        ([op(0, "called"), op(1.0, "none"), got(1.4)], []),
+        ([op(0, "called"), op(1.0, "none"), got(1.6)], ["bans"]),
+        ([op(0, "called"), op(0.1, "yes"), op(0.3, "called", "up"), got(2)], []),
+        ([told(0, "up", 5.0), fell(g0=7, g1=3)], ["cold"]),
+        ([told(0, "up", 5.0), fell(g0=6, g1=4)], []),
+        ([life(0, "exit", code=1, expected=False, log="boom")], ["crash"]),
+        ([life(0, "exit", code=0, expected=True, log="")], []),
+        ([life(0, "exit", code=1, expected=True, log="")], ["crash"]),
+        ([life(0, "unready")], ["start"]),
+        ([life(0, "forced")], ["ends"]),
+        ([e for i in range(14) for e in (ask(0, id=str(i)), got(0, i, id=str(i), **STOR))], []),
+        ([e for i in range(15) for e in (ask(0, id=str(i)), got(0, i, id=str(i), **STOR))], ["ceilings"]),
+    ],
+)
+def test_the_judge_finds_each_rule_broken_and_none_where_it_holds(
+    events: list[dict[str, Any]], rules: list[str]
+) -> None:
+    judge = Judge()
+    for event in [PLAY, *events]:
+        judge.feed(event)
+    assert [one.rule for one in judge.finish()] == rules
+    assert 14 * 4 < HARD < 15 * 4
+    for one in judge.breaches:
+        assert one.line() and (one.gateways or one.backend)
+
+
+def test_a_key_that_runs_twice_in_a_rack_is_found_and_an_old_list_is_counted() -> None:
+    judge = Judge()
+    runs = [ask(0, "spara"), got(0, key="k"), ask(1, "spara", id="2"), got(1, 2, id="2", key="k")]
+    begun = [{"t": n, "e": "run", "b": "b0", "n": n, "id": str(n)} for n in (1, 2)]
+    for event in [PLAY, *runs, *begun]:
+        judge.feed(event)
+    assert [one.rule for one in judge.breaches] == ["repeats"]
+    judge = Judge()
+    judge.feed(PLAY)
+    judge.feed({"t": 0, "e": "list", "seq": 2, "b": "b0", "health": "draining", "born": 0})
+    for gateway in ("g1", "g2"):
+        judge.feed({**told(0.5, "draining"), "g": gateway})
+    judge.feed(ask(0))
+    for at in (2.4, 2.6):
+        judge.feed(got(at))
+    assert judge.finish() == [] and judge.figures()["sends on an old list"] == 1
+
+
+# ---- the record and the limits ----
+
+
+def test_a_record_is_read_up_to_a_torn_end_and_no_further(tmp_path: Path) -> None:
+    records = Records(tmp_path, lambda event: None)
+    records.add("one", x=1)
+    records.begin()
+    records.add("two")
+    records.close()
+    whole = (tmp_path / FILE).read_bytes()
+    assert [e["e"] for e in read(tmp_path)] == ["one", "two"]
+    assert [e["t"] < 0 for e in read(tmp_path)] == [True, False]
+    (tmp_path / FILE).write_bytes(whole[:-5])
+    assert [e["e"] for e in read(tmp_path)] == ["one"]
+    (tmp_path / FILE).write_bytes(b"{}\n" + whole)
+    with pytest.raises(RecordError):
+        list(read(tmp_path))
+    with pytest.raises(RecordError):
+        list(read(tmp_path / "none"))
+
+
+def test_a_port_that_is_taken_and_too_few_descriptors_are_told_before_the_play(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    net = Net()
+    other = Net()
+    assert other.number != net.number  # two plays side by side
+    with socket.create_server((net.gateway(0), 6379)), pytest.raises(AddressError):
+        net.check((net.gateway(0), 6379))
+    net.check((net.gateway(0), 6379))
+    net.close()
+    other.close()
+    monkeypatch.setattr(resource, "getrlimit", lambda which: (256, 256))
+
+    async def begin() -> None:
+        found = scenario.load(scenario.find("calm"))
+        play = Play(found, 1, tmp_path)
+        with pytest.raises(PlayError, match="ulimit -n"):
+            await play.run()
+
+    in_loop(begin)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -7,8 +7,10 @@
 from pathlib import Path
 
 import pytest
-from loopback import LOCAL, Backend, Peer, Reply, World, encode, in_loop, request, running, until
 
+from fleetlab.alone import World, in_loop, request, running
+from fleetlab.backends import Backend
+from fleetlab.sockets import LOCAL, Peer, Reply, encode, until
 from roadpulley import operators
 from roadpulley.config import load_config
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -12,8 +12,10 @@
 from pathlib import Path
 
 import pytest
-from loopback import LOCAL, Backend, Peer, Reply, World, in_loop, request, running, until
 
+from fleetlab.alone import World, in_loop, request, running
+from fleetlab.backends import Backend
+from fleetlab.sockets import LOCAL, Peer, Reply, until
 from roadpulley import clock
 from roadpulley.config import ConfigError, parse_config
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -17,11 +17,14 @@
 from typing import Any
 
 import pytest
-from loopback import Backend, Peer, World, host, in_loop, running
 from test_operators import call, stats
 from test_process import connect, start
 from test_upgrade import Site, free_port, site
 
+from fleetlab.agents import host
+from fleetlab.alone import World, in_loop, running
+from fleetlab.backends import Backend
+from fleetlab.sockets import Peer
 from roadpulley import recovery, store
 from roadpulley.config import ConfigError, parse_config
 from roadpulley.descriptors import OF_STATE, OWN, Budget
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -16,8 +16,9 @@
 from pathlib import Path
 
 import pytest
-from loopback import in_loop, until
 
+from fleetlab.alone import in_loop
+from fleetlab.sockets import until
 from roadpulley import store as module
 from roadpulley.store import FILE, MOST_ASIDE, MOST_STARTS, Files, Found, Held, Store
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,9 +6,11 @@
 import random
 
 import pytest
-from loopback import Backend, Peer, Reply, World, encode, in_loop, request, running, until
 from test_operators import stats
 
+from fleetlab.alone import World, in_loop, request, running
+from fleetlab.backends import Backend
+from fleetlab.sockets import Peer, Reply, encode, until
 from roadpulley import clients
 from roadpulley.streams import LEAST, LONGEST, Body, Passing, Room
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,9 +15,11 @@
 import pytest
 from helpers import World as Decisions
 from helpers import counts, entry, refusals, sends
-from loopback import LOCAL, Backend, Peer, Reply, World, in_loop, request, until
 from test_operators import call
 
+from fleetlab.alone import World, in_loop, request
+from fleetlab.backends import Backend
+from fleetlab.sockets import LOCAL, Peer, Reply, until
 from mintford import interface as api
 from roadpulley.bans import private_file
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -15,10 +15,13 @@
 from hypothesis import given
 from hypothesis import settings as limits
 from hypothesis import strategies as st
-from loopback import Backend, World, host, in_loop, running, until
 from test_connections import config, figures
 from test_operators import call
 
+from fleetlab.agents import host
+from fleetlab.alone import World, in_loop, running
+from fleetlab.backends import Backend
+from fleetlab.sockets import until
 from mintford import interface as api
 from mintford.rules import Gateway
 from mintford.zones import FORGET_MS, MOST_ZONES, State, Zones
