--- a/fleetlab/faults.py
+++ b/fleetlab/faults.py
@@ -35,6 +35,7 @@
             given.AgentDoes: self.agent,
             given.CounterDoes: self.counter,
             given.Operators: self.operators,
+            given.View: self.view,
         }
 
     async def at(self, zero: float, number: int, fault: AnyFault) -> None:
@@ -293,21 +294,48 @@
     async def operators(self, number: int, fault: given.Operators) -> None:
         await asyncio.gather(*(self.call(g, fault.call, fault.id) for g in self.gateways(fault.gateways)))
 
-    async def call(self, gateway: Gateway, call: str, named: str) -> str:
-        """Call one gateway's operator address; gives yes, no or none."""
-        self.records.add("op", g=gateway.name, call=call, id=named, how="called")
-        body = json.dumps({"id": named}).encode() if named else b""
-        how, status = "none", 0
+    async def view(self, number: int, fault: given.View) -> None:
+        """Record what gateways say of the fleet."""
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + fault.for_s
+        while True:
+            await asyncio.gather(*(self.look(gateway) for gateway in self.gateways(fault.gateways)))
+            if loop.time() + fault.every_s > ends:
+                return
+            await asyncio.sleep(fault.every_s)
+
+    async def look(self, gateway: Gateway) -> None:
+        if gateway.stopped:
+            return
+        status, body = await self.http(gateway, "GET", "fleet", b"")
+        if status != 200:
+            self.records.add("view", g=gateway.name, status=status)
+            return
+        said = json.loads(body)
+        states = {name: row["state"] for name, row in said["members"].items()}
+        facts = [[f["kind"], f["name"], f["origin"], f["value"]] for f in said["facts"]]
+        more = {key: said[key] for key in ("minority", "quiet", "dropped")}
+        self.records.add("view", g=gateway.name, status=status, members=states, facts=facts, **more)
+
+    async def http(self, gateway: Gateway, method: str, call: str, body: bytes) -> tuple[int, bytes]:
+        """A call to an operator address: its status, 0 for none, and what came with it."""
         try:
             async with asyncio.timeout(CALL_S):
                 reader, writer = await asyncio.open_connection(*gateway.operator)
-                head = f"POST /ops/{call} HTTP/1.1\r\nHost: lab\r\nContent-Length: {len(body)}\r\n\r\n"
+                head = f"{method} /ops/{call} HTTP/1.1\r\nHost: lab\r\nContent-Length: {len(body)}\r\n\r\n"
                 writer.write(head.encode() + body)
-                words = (await reader.readline()).split()
+                answer = await reader.read()
                 writer.close()
-            status = int(words[1])
-            how = "yes" if status // 100 == 2 else "no"
+            head_of, _, rest = answer.partition(b"\r\n\r\n")
+            return int(head_of.split()[1]), rest
         except (OSError, ValueError, IndexError):
-            pass
+            return 0, b""
+
+    async def call(self, gateway: Gateway, call: str, named: str) -> str:
+        """Call one gateway's operator address; gives yes, no or none."""
+        self.records.add("op", g=gateway.name, call=call, id=named, how="called")
+        body = json.dumps({"id": named}).encode() if named else b""
+        status, _ = await self.http(gateway, "POST", call, body)
+        how = "none" if not status else "yes" if status // 100 == 2 else "no"
         self.records.add("op", g=gateway.name, call=call, id=named, how=how, status=status)
         return how
--- /dev/null
+++ b/fleetlab/line.py
@@ -0,0 +1,167 @@
+"""The line between gateways on a hand-set clock: many nodes, and a network with a seed."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import Counter as Counts
+from collections.abc import Callable, Iterable
+
+from roadpulley.fleet.members import Address
+from roadpulley.fleet.messages import Life, Seal, State
+from roadpulley.fleet.node import Node
+
+WALL_MS = 1.8e12
+LATE_S = 0.5
+SEAL = Seal("lab", b"a secret of the lab's own")
+
+
+class Net:
+    """Nodes by address, what is under way between them, and what the network does to it.
+
+    `lossy` tells whether what goes from one address to another is lost. Times are seconds.
+    """
+
+    def __init__(self, seed: int, trip_s: float = 0.001, jitter_s: float = 0.004) -> None:
+        self.chance = random.Random(seed)
+        self.now = 1_000.0
+        self.trip_s, self.jitter_s = trip_s, jitter_s
+        self.nodes: dict[Address, Node] = {}
+        self.stopped: dict[Address, float] = {}  # until when
+        self.loss = self.duplicate = 0.0
+        self.cut: Callable[[Address, Address], bool] = lambda a, b: False
+        self.queue: list[tuple[float, int, Address, bytes | None, Address]] = []
+        self.order = itertools.count()
+        self.clocks: dict[Address, float] = {}  # milliseconds by which a wall clock is off
+        self.due: dict[Address, float] = {}  # the next tick
+        self.held: dict[Address, list[bytes]] = {}  # for a process that is stopped
+        self.counts: Counts[str] = Counts()
+        self.fates: list[int] = []  # of the next datagrams, the last first: 0 lost, 1 late, 2 doubled
+
+    def wall(self, at: Address) -> float:
+        return WALL_MS + self.now * 1000 + self.clocks.get(at, 0.0)
+
+    def add(
+        self, number: int, seeds: Iterable[int] = (0,), life: Life | None = None, name: str = ""
+    ) -> Node:
+        """Start a node; one of the same number before it is gone without a word."""
+        address = address_of(number)
+        given = life or (int(self.wall(address)), self.chance.getrandbits(30))
+        node = Node(
+            name or f"g{number}",
+            given,
+            address,
+            tuple(address_of(one) for one in seeds),
+            SEAL,
+            random.Random(self.chance.getrandbits(64)),
+            self.now,
+            self.wall(address),
+        )
+        self.nodes[address] = node
+        self.due[address] = self.now
+        self.push(self.now, address, None, address)
+        return node
+
+    def remove(self, number: int) -> None:
+        self.nodes.pop(address_of(number), None)
+
+    def stop(self, number: int, for_s: float) -> None:
+        """A process stands still; what comes meanwhile waits for it, as far as its socket holds it."""
+        address = address_of(number)
+        self.stopped[address] = self.due[address] = self.now + for_s
+        self.push(self.now + for_s, address, None, address)
+
+    def push(self, at: float, to: Address, frame: bytes | None, source: Address) -> None:
+        heapq.heappush(self.queue, (at, next(self.order), to, frame, source))
+
+    def run(self, for_s: float, until: Callable[[], bool] | None = None) -> bool:
+        """Let time pass; whether `until` came to hold (looked at with each event)."""
+        ends = self.now + for_s
+        while self.queue and self.queue[0][0] <= ends:
+            at, _, to, frame, source = heapq.heappop(self.queue)
+            self.now = max(self.now, at)
+            node = self.nodes.get(to)
+            if node is None:
+                continue
+            if self.stopped.get(to, 0.0) > self.now:
+                if frame is not None and len(self.held.setdefault(to, [])) < 200:
+                    self.held[to].append(frame)
+                continue
+            for waited in self.held.pop(to, []):
+                node.receive(self.now, self.wall(to), waited)
+            if frame is None:
+                if self.due.get(to) not in (None, at):
+                    continue  # it was called earlier
+                node.tick(self.now, self.wall(to))
+            else:
+                node.receive(self.now, self.wall(to), frame)
+            due = max(node.due(self.now), self.now + 0.005)
+            if frame is None or due < self.due.get(to, 0.0) - 0.001:
+                self.due[to] = due
+                self.push(due, to, None, to)
+            self.carry(to, node)
+            if until is not None and until():
+                return True
+        self.now = ends
+        return until is not None and until()
+
+    def carry(self, source: Address, node: Node) -> None:
+        for to, frame in node.take():
+            self.counts["datagrams"] += 1
+            self.counts["bytes"] += len(frame)
+            if self.fates:
+                fate = self.fates.pop()
+                for _ in range(fate):
+                    self.push(self.now + (LATE_S if fate == 1 else self.trip_s), to, frame, source)
+                continue
+            if self.cut(source, to) or self.chance.random() < self.loss:
+                continue
+            for _ in range(1 + (self.chance.random() < self.duplicate)):
+                self.push(self.now + self.trip_s + self.chance.random() * self.jitter_s, to, frame, source)
+        for to in node.exchanges():
+            self.exchange(source, node, to)
+
+    def exchange(self, source: Address, node: Node, to: Address) -> None:
+        """Both sides' whole state, over TCP: it comes whole or not at all."""
+        other = self.nodes.get(to)
+        if other is None or self.cut(source, to) or self.cut(to, source):
+            return
+        if self.stopped.get(to, 0.0) > self.now:
+            return
+        self.counts["exchanges"] += 1
+        if other.exchanged(self.now, self.wall(to), node.state(False), False):
+            node.exchanged(self.now, self.wall(source), other.state(True), True)
+
+    # ---- what is seen ----
+
+    def sees(self, node: Node, name: str) -> State | None:
+        member = node.members.others.get(name)
+        return member.state if member is not None else None
+
+    def all_see(self, name: str, states: set[State], part: float = 1.0) -> bool:
+        """Whether so large a part of the others sees a member in one of these states."""
+        views = [self.sees(node, name) for node in self.nodes.values() if node.members.me.name != name]
+        return sum(view in states for view in views) >= part * len(views)
+
+    def whole(self) -> bool:
+        """Whether all nodes see each other alive."""
+        names = {node.members.me.name for node in self.nodes.values()}
+        return all(
+            {m.rumor.name for m in node.members.others.values() if m.state is State.ALIVE} >= names - {own}
+            for node in self.nodes.values()
+            if (own := node.members.me.name)
+        )
+
+
+def address_of(number: int) -> Address:
+    return f"127.9.{number // 200}.{number % 200 + 1}", 7_946
+
+
+def fleet(size: int, seed: int, settle_s: float = 20.0) -> Net:
+    """A fleet that has come together from two seeds."""
+    net = Net(seed)
+    for number in range(size):
+        net.add(number, seeds=(0, 1))
+    net.run(settle_s, net.whole if size <= 60 else None)
+    return net
--- a/fleetlab/processes.py
+++ b/fleetlab/processes.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from .addresses import LISTEN, OPERATOR, Net
+from .addresses import LINE, LISTEN, OPERATOR, Net
 from .records import Records
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -42,6 +42,7 @@
         self.name, self.index, self.zone, self.records = name, index, zone, records
         self.host = net.gateway(index)
         self.listen, self.operator = (self.host, LISTEN), (self.host, OPERATOR)
+        self.line = (self.host, LINE)
         self.agent_at = self.counter_at = self.line_at = self.listen  # until their links are there
         self.folder = folder / "gateways" / name
         self.tmp, self.state = self.folder / "tmp", self.folder / "state"
--- a/fleetlab/scenario.py
+++ b/fleetlab/scenario.py
@@ -39,6 +39,8 @@
     gateways: Annotated[int, msgspec.Meta(ge=1, le=MOST_GATEWAYS)]
     zones: Names = msgspec.field(default_factory=lambda: ["a"])
     state: bool = False  # each gateway has a folder for its state
+    line: bool = False  # the gateways have a line between them
+    seeds: Annotated[int, msgspec.Meta(ge=0, le=64)] = 3  # the first gateways, of the line
     memory_mb: Annotated[int, msgspec.Meta(ge=16, le=1024)] = 192
     sockets: Annotated[int, msgspec.Meta(ge=128, le=65_536)] = 1024
     cross_price: Part = 0.0
@@ -188,8 +190,27 @@
     id: str = ""
 
 
+class View(Fault, tag="view"):
+    """No fault: asks gateways what they know of the fleet (`GET /ops/fleet`), every `every_s` for `for_s`."""
+
+    gateways: Names
+    for_s: Second = 0.0
+    every_s: Annotated[float, msgspec.Meta(ge=0.05, le=60)] = 0.25
+
+
 AnyFault = (
-    Kill | Term | Stop | Hup | Clock | Power | Link | BackendDoes | AgentDoes | CounterDoes | Operators
+    Kill
+    | Term
+    | Stop
+    | Hup
+    | Clock
+    | Power
+    | Link
+    | BackendDoes
+    | AgentDoes
+    | CounterDoes
+    | Operators
+    | View
 )
 
 
--- a/fleetlab/stage.py
+++ b/fleetlab/stage.py
@@ -30,6 +30,8 @@
         self.scenario, self.seed, self.records = scenario, seed, records
         self.table = given.timetable(scenario, seed)
         self.chance = random.Random(seed)
+        self.secret = out / "secret"
+        self.secret.write_text(f"the line's secret of seed {seed}\n")
         self.net = Net()
         self.paths = Paths()
         self.joints: dict[Address, Joint] = {}  # by the address that a stand-in sees
@@ -124,7 +126,7 @@
         by_host = {other.host: name for name, other in self.gateways.items()}
         row, place = divmod(gateway.index, 200)
         gateway.line_at = (f"127.{self.net.number}.{LINE_ROW + row}.{place + 1}", LINE)
-        at, name = (gateway.host, LINE), gateway.name
+        at, name = gateway.line, gateway.name
         tcp = TcpLink(
             gateway.line_at, at, lambda h: self.paths.path(by_host.get(h, ""), name), self.chance, self.joints
         )
@@ -166,6 +168,14 @@
         }
         if fleet.state:
             made["state"] = str(gateway.state)
+        if fleet.line:
+            made["fleet"] = {
+                "name": "lab",
+                "listen": "{}:{}".format(*gateway.line),
+                "advertise": "{}:{}".format(*gateway.line_at),
+                "seeds": ["{}:{}".format(*g.line_at) for g in list(self.gateways.values())[: fleet.seeds]],
+                "secret": str(self.secret),
+            }
         if fleet.regions:
             made["regions"] = fleet.regions
         return made | fleet.extra
--- a/roadpulley/config.py
+++ b/roadpulley/config.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import os
-from dataclasses import dataclass, fields, replace
+from dataclasses import dataclass, field, fields, replace
 from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any
@@ -12,6 +13,7 @@
 from mintford import interface as api
 from mintford.wirehost import read_settings
 
+from . import __version__
 from .descriptors import Shares
 
 Address = tuple[str, int]
@@ -19,6 +21,8 @@
 HIGHEST_PORT = 65_535
 LEAST_SHARE = 0.05  # of the descriptors, or of the clients' part; and as much is left to the rest
 MOST_CONNECTS = 64  # handshakes under way to one backend that may be allowed
+LONGEST_FLEET, MOST_SEEDS = 64, 64
+LEAST_SECRET, MOST_SECRET = 16, 4_096  # bytes
 STATE = "LB_STATE"  # goes before the file, likewise
 OPERATOR = "LB_OPERATOR"  # goes before the file: each process of an upgrade has an address of its own
 
@@ -27,6 +31,17 @@
     """The configuration does not say what a gateway needs."""
 
 
+@dataclass(frozen=True)
+class Line:
+    """The line between gateways."""
+
+    fleet: str  # its name: others are not heard
+    listen: Address
+    advertise: Address  # where the others reach this one
+    seeds: tuple[Address, ...]  # some that are likely there, asked at the start
+    secret: bytes = field(repr=False)
+
+
 @dataclass(frozen=True)
 class Config:
     name: str
@@ -43,6 +58,9 @@
     max_open: int
     shares: Shares  # of the descriptors
     state: Path | None  # the folder where state is kept on disk; none: nowhere
+    line: Line | None  # between gateways; none: this one knows of no other
+    release: str  # of the program
+    digest: str  # of the file, without what each start has of its own
     known: dict[str, Any]  # the list of backends as this gateway last had it, in discovery's form
 
 
@@ -60,7 +78,7 @@
         return Shares()
     if not isinstance(given, dict):
         raise ValueError("connections: not a table")
-    names = {field.name for field in fields(Shares)}
+    names = {one.name for one in fields(Shares)}
     if unknown := sorted(given.keys() - names):
         raise ValueError(f"connections: unknown name {unknown[0]!r}")
     for name, value in given.items():
@@ -103,6 +121,43 @@
     return Path(folder) if folder else None
 
 
+def parse_line(given: Any) -> Line | None:
+    """The optional table `fleet`; without one nothing of the line is even imported."""
+    if given is None:
+        return None
+    if not isinstance(given, dict):
+        raise ValueError("fleet: not a table")
+    if unknown := sorted(given.keys() - {"name", "listen", "advertise", "seeds", "secret"}):
+        raise ValueError(f"fleet: unknown name {unknown[0]!r}")
+    name, seeds, path = given.get("name"), given.get("seeds", []), given.get("secret")
+    if not isinstance(name, str) or not 1 <= len(name) <= LONGEST_FLEET:
+        raise ValueError(f"fleet: name can't be {name!r}")
+    if not isinstance(seeds, list) or len(seeds) > MOST_SEEDS:
+        raise ValueError(f"fleet: seeds: not a list of at most {MOST_SEEDS} addresses")
+    if not isinstance(path, str) or not path or "\0" in path:
+        raise ValueError("fleet: secret: not the path of a file")
+    try:
+        with open(path, "rb") as file:
+            secret = file.read(MOST_SECRET + 1).strip()
+    except OSError as error:
+        raise ValueError(f"fleet: secret: {path}: {error.strerror}") from error
+    if not LEAST_SECRET <= len(secret) <= MOST_SECRET:
+        raise ValueError(f"fleet: secret: {path}: not {LEAST_SECRET} to {MOST_SECRET} bytes")
+    listen = parse_address(given.get("listen", ""))
+    advertise = parse_address(given["advertise"]) if "advertise" in given else listen
+    if not (listen[1] and advertise[1]):
+        raise ValueError("fleet: listen and advertise: no port")
+    return Line(name, listen, advertise, tuple(parse_address(seed) for seed in seeds), secret)
+
+
+def digest_of(raw: dict[str, Any]) -> str:
+    """Of what gateways of a fleet are told alike: without names, addresses, the seed and the list."""
+    own = {"name", "listen", "operator", "discovery", "counter", "seed", "known", "state", "fleet"}
+    settings = {key: value for key, value in raw["settings"].items() if key not in ("selfIndex", "az")}
+    alike = {key: value for key, value in raw.items() if key not in own} | {"settings": settings}
+    return hashlib.blake2b(json.dumps(alike, sort_keys=True).encode(), digest_size=8).hexdigest()
+
+
 def parse_config(raw: dict[str, Any]) -> Config:
     try:
         settings = raw["settings"]
@@ -123,6 +178,9 @@
             max_open=int(caps.get("maxOpen") or 10_000),
             shares=parse_shares(raw.get("connections")),
             state=parse_state(raw.get("state")),
+            line=parse_line(raw.get("fleet")),
+            release=__version__,
+            digest=digest_of(raw) if raw.get("fleet") else "",
             known=raw.get("known") or {},
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
--- /dev/null
+++ b/roadpulley/ctl.py
@@ -0,0 +1,108 @@
+"""For staff: what the gateways of a fleet say of each other.
+
+    python -m roadpulley.ctl members ADDRESS... [--json]
+
+ADDRESS is a gateway's operator address, host:port. It needs the extra `ops`. Exit codes: 0 all answered and
+agree, 1 some don't agree or did not answer, 2 none answered.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import urllib.request
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+ANSWER_S = 2.0
+AT_ONCE = 32  # calls side by side
+
+View = dict[str, Any]
+
+
+def ask(address: str) -> View | str:
+    """A gateway's view of the fleet, or why there is none."""
+    try:
+        with urllib.request.urlopen(f"http://{address}/ops/fleet", timeout=ANSWER_S) as answer:
+            found = json.loads(answer.read())
+        return found if isinstance(found, dict) else "not a view of a fleet"
+    except (OSError, ValueError) as error:
+        return str(error)
+
+
+def ask_all(addresses: tuple[str, ...]) -> dict[str, View | str]:
+    with ThreadPoolExecutor(min(AT_ONCE, len(addresses))) as pool:
+        return dict(zip(addresses, pool.map(ask, addresses), strict=True))
+
+
+def differences(views: dict[str, View]) -> dict[str, list[str]]:
+    """By member: what the views say of it, where they differ. A view's own row counts as alive."""
+    names = sorted({name for view in views.values() for name in view["members"]})
+    found = {}
+    for name in names:
+        said = sorted({state_of(view, name) for view in views.values()})
+        if len(said) > 1:
+            found[name] = said
+    return found
+
+
+def state_of(view: View, name: str) -> str:
+    row = view["members"].get(name)
+    if row is None:
+        return "unknown"
+    return "alive" if row["state"] == "self" else str(row["state"])
+
+
+@click.group()
+def cli() -> None:
+    """Ask the gateways of a fleet."""
+
+
+@cli.command()
+@click.argument("addresses", nargs=-1, required=True)
+@click.option("--json", "as_json", is_flag=True)
+def members(addresses: tuple[str, ...], as_json: bool) -> None:
+    """Who sees whom: a row for each member, a column for each gateway that was asked."""
+    answers = ask_all(addresses)
+    views = {address: view for address, view in answers.items() if isinstance(view, dict)}
+    silent = {address: why for address, why in answers.items() if isinstance(why, str)}
+    differ = differences(views)
+    if as_json:
+        click.echo(json.dumps({"views": views, "silent": silent, "differences": differ}, indent=1))
+    else:
+        show(views, silent, differ)
+    sys.exit(2 if not views else 1 if differ or silent else 0)
+
+
+def show(views: dict[str, View], silent: dict[str, str], differ: dict[str, list[str]]) -> None:
+    console = Console(highlight=False)
+    table = Table("member", "zone", "life", *(view["name"] for view in views.values()), "")
+    for name in sorted({name for view in views.values() for name in view["members"]}):
+        rows = [view["members"][name] for view in views.values() if name in view["members"]]
+        life = max(rows, key=lambda row: row["life"])["life"]
+        zone = next((row["zone"] for row in rows if "zone" in row), "")
+        cells = [cell(view, name) for view in views.values()]
+        mark = "[yellow]differs[/]" if name in differ else ""
+        table.add_row(name, zone, str(life[0]), *cells, mark)
+    console.print(table)
+    for view in views.values():
+        if view["minority"]:
+            console.print(f"{view['name']} knows itself in a minority", style="yellow")
+    for address, why in silent.items():
+        console.print(f"{address} did not answer: {why}", style="red", markup=False)
+
+
+def cell(view: View, name: str) -> str:
+    state = state_of(view, name)
+    row = view["members"].get(name, {})
+    heard = f" {row['heard_s']:.0f} s" if state in ("suspect", "dead") and "heard_s" in row else ""
+    colour = {"alive": "green", "suspect": "yellow", "dead": "red"}.get(state, "dim")
+    return f"[{colour}]{state}{heard}[/]"
+
+
+if __name__ == "__main__":
+    cli()
--- a/roadpulley/descriptors.py
+++ b/roadpulley/descriptors.py
@@ -19,6 +19,7 @@
 # process beside it 2, a file and its lock 2, the spare one 1.
 OWN = 17
 OF_STATE = 7  # of the state on disk: lock 1, database 3, a journal while it begins 1, folder 2
+OF_LINE = 10  # of the line between gateways: two sockets, six exchanges, two on their way out
 LEAST = 8  # connections of clients and of backends, whatever the other process of an upgrade holds
 RELIEVED = 8  # connections that may be closed to find descriptors: as many as are accepted in one turn
 
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import gc
+import json
 import logging
 import random
+from collections.abc import Iterator
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -19,7 +21,7 @@
 from .clock import Timers
 from .config import Config
 from .counter import Counter
-from .descriptors import OF_STATE, OWN, Budget
+from .descriptors import OF_LINE, OF_STATE, OWN, Budget
 from .discovery import Discovery, asks_apart, read_list
 from .driver import Driver
 from .figures import Figures
@@ -27,6 +29,7 @@
 from .streams import Room
 
 if TYPE_CHECKING:
+    from .peers import Peers, Word
     from .recovery import Recovery
 
 log = logging.getLogger(__name__)
@@ -36,6 +39,7 @@
 CLOSING_S = 0.1
 NEWS_S = 0.25  # for discovery's first word before clients are taken; it says nothing if nothing changed
 HOLDS_S = 0.05  # between two tellings of the descriptors that are held
+MOST_TOLD = 32  # backends, or zones, out by hand or just back that the other gateways are told of
 HOST, ZONE = "held-host", "held-zone"  # kinds of rows on disk
 YES = Said(200, "yes\n")
 
@@ -49,7 +53,7 @@
         self.timers = Timers(self.loop)
         self.figures = Figures([kind.name for kind in config.settings.classes])
         self.room = Room(config.memory)
-        self.budget = Budget(config.sockets, config.shares, OWN + (OF_STATE if config.state else 0))
+        self.budget = Budget(config.sockets, config.shares, self.own(config))
         self.backends = Backends(
             self.loop,
             self.timers,
@@ -105,6 +109,7 @@
             left=self.beside_left,
             holds=self.share,
         )
+        self.peers: Peers | None = None  # the other gateways, if there is a line to them
         self.emptying: asyncio.Task[None] | None = None  # until nothing is left of a hand-over
         self.driver.states = self.states
 
@@ -112,7 +117,11 @@
 
     def calls(self) -> Calls:
         return Calls(
-            gets={"/ops/readiness": self.readiness, "/ops/stats": self.stats},
+            gets={
+                "/ops/readiness": self.readiness,
+                "/ops/stats": self.stats,
+                "/ops/fleet": self.fleet,
+            },
             posts={"/ops/drain/start": self.drain_start, "/ops/drain/stop": self.drain_stop},
             id_posts={
                 "/ops/backends/down": partial(self.hold, HOST, True),
@@ -133,13 +142,20 @@
     def connections(self) -> dict[str, int]:
         """The connections by state, and what is held of the descriptors."""
         of_state = self.recovery.gauges() if self.recovery is not None else {}
-        return self.clients.gauges() | self.backends.gauges() | self.budget.gauges() | of_state
+        of_line = self.peers.gauges() if self.peers is not None else {}
+        return self.clients.gauges() | self.backends.gauges() | self.budget.gauges() | of_state | of_line
 
     def states(self) -> dict[str, int]:
         """For the log: the connections now, and what became of others since the start."""
         of_state = self.recovery.counts() if self.recovery is not None else {}
         return self.connections() | self.figures.connections() | of_state
 
+    def fleet(self) -> Said:
+        """The other gateways as this one knows them."""
+        if self.peers is None:
+            return Said(404, "no such path\n")
+        return Said(200, json.dumps(self.peers.shown()) + "\n")
+
     def hold(self, kind: str, out: bool, name: str) -> Said | Later:
         """Take a backend or a zone out, or put it back."""
         bans = self.bans if kind == HOST else self.zones
@@ -216,8 +232,54 @@
         if self.recovery is not None and took_over:
             self.recovery.take_files()
         await self.beside.listen()
+        await self.join()
         return port
 
+    @staticmethod
+    def own(config: Config) -> int:
+        """Descriptors of the process itself, with those of the parts that are on."""
+        return OWN + (OF_STATE if config.state else 0) + (OF_LINE if config.line else 0)
+
+    # ---- the line to other gateways ----
+
+    async def join(self) -> None:
+        """Take part in the fleet, if the configuration names one."""
+        if self.config.line is None or self.peers is not None:
+            return
+        from .peers import Peers, next_life
+
+        chance = random.Random(f"{self.config.seed} line")
+        life = next_life(self.config.state, chance)
+        self.peers = Peers(self.config.name, self.config.line, life, chance, self.words)
+        await self.peers.open()
+
+    def part(self, leave: bool) -> None:
+        """Take part no more; said to the others where this gateway ends, and not only this process."""
+        if self.peers is not None:
+            if leave:
+                self.peers.leave()
+            self.peers.close()
+            self.peers = None
+
+    def words(self) -> Iterator[Word]:
+        """What this gateway tells the others of itself, and of what operators had it do."""
+        from .fleet.facts import HELD_HOST, HELD_ZONE
+        from .peers import Word
+
+        regions = dict(self.config.settings.regions)
+        zone = self.config.settings.zone
+        yield Word("zone", "", zone)
+        yield Word("region", "", regions.get(zone, ""))
+        yield Word("release", "", self.config.release)
+        yield Word("config", "", self.config.digest)
+        yield Word("list", "", str(self.discovery.version))
+        yield Word("ready", "", "yes" if self.clients.takes_clients else "no")
+        for kind, bans in ((HELD_HOST, self.bans), (HELD_ZONE, self.zones)):
+            for name, at in list(bans.out.items())[-MOST_TOLD:]:
+                yield Word(kind, name, "down", at)
+            for name, at in list(bans.back.items())[-MOST_TOLD:]:
+                yield Word(kind, name, "up", at)
+
     async def hear_discovery(self) -> None:
         """The list as last known may be old, and a backend in it cold or gone: wait a moment for the news."""
         if self.discovery.first_wait > NEWS_S:
@@ -238,6 +300,7 @@
         log.info("another process takes the clients")
         self.clients.hand_over()
         self.budget.hand_over()
+        self.part(leave=False)  # the new process has this name now
         if self.recovery is not None:
             self.recovery.hand_over()
         if self.emptying is None:
@@ -260,6 +323,7 @@
             self.clients.take_back()
             if self.recovery is not None:
                 self.recovery.take_files()
+            self.joining = self.loop.create_task(self.join())
 
     def share(self, held: int) -> None:
         """Both processes hold their descriptors together."""
@@ -272,7 +336,12 @@
             self.budget.configured, self.budget.shares = config.sockets, config.shares
             if config.settings.regions != self.config.settings.regions:
                 self.driver.give(api.RegionsChanged(config.settings.regions))
+            moved = config.line != self.config.line
             self.config = config
+            self.budget.own = self.own(config)
+            if moved:
+                self.part(leave=True)
+                await self.join()
             self.discovery.move(config.discovery)
             if self.counter is not None and config.counter is not None:
                 self.counter.move(config.counter)
@@ -280,6 +349,7 @@
     async def drain(self) -> None:
         """The last drain: nothing is accepted any more once the front has noticed, and what is open ends."""
         log.info("draining")
+        self.part(leave=not self.clients.handed)
         started = self.loop.time()
         self.clients.end(NOTICE_S)
         if not self.clients.handed:
@@ -296,6 +366,7 @@
     def close(self) -> None:
         if self.emptying is not None:
             self.emptying.cancel()
+        self.part(leave=False)
         self.beside.close()
         self.operators.close()
         self.clients.close()
--- /dev/null
+++ b/tests/test_fleet_line.py
@@ -0,0 +1,403 @@
+"""The line between gateways, pure: seals, facts, members, and whole fleets on a hand-set clock."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import random
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fleetlab.line import SEAL, WALL_MS, Net, address_of, fleet
+from roadpulley.config import ConfigError, parse_config
+from roadpulley.fleet.facts import CLOCK_MS, HELD_HOST, MOST_OF_ORIGIN, WITHDRAWN_MS, Facts, TooMuch
+from roadpulley.fleet.members import GONE_S, Members
+from roadpulley.fleet.messages import (
+    MOST_DATAGRAM,
+    VERSION,
+    Datagram,
+    Entry,
+    Exchange,
+    Kind,
+    Refused,
+    Rumor,
+    Seal,
+    State,
+    Window,
+)
+from roadpulley.fleet.node import Node
+
+LIFE = (5, 1)
+
+
+# ---- seals ----
+
+
+def ping(number: int = 1, **given: Any) -> Datagram:
+    return Datagram("g1", LIFE, number, Kind.PING, seq=7, target="g0", host="127.0.0.1", port=7, **given)
+
+
+def test_what_is_spoilt_foreign_or_too_long_is_refused_by_its_reason() -> None:
+    frame = SEAL.close(ping())
+    assert SEAL.datagram(frame) == ping()
+    spoilt = {
+        "garbage": frame[:10],
+        "version": bytes([VERSION + 1]) + frame[1:],
+        "fleet": Seal("other", b"a secret of the lab's own").close(ping()),
+        "key": Seal("lab", b"another secret of theirs").close(ping()),
+        "oversize": frame + b"x" * MOST_DATAGRAM,
+    }
+    for reason, bad in spoilt.items():
+        with pytest.raises(Refused) as error:
+            SEAL.datagram(bad)
+        assert error.value.reason == reason
+    body = msgspec.msgpack.encode([1, 2, "not a message"])
+    with pytest.raises(Refused) as error:
+        SEAL.datagram(SEAL.head + SEAL.checksum(body) + body)
+    assert error.value.reason == "garbage"
+
+
+def test_a_newer_message_is_read_as_far_as_it_is_known() -> None:
+    body = msgspec.msgpack.encode([*msgspec.to_builtins(ping()), "a field of later", {"more": 1}])
+    assert SEAL.datagram(SEAL.head + SEAL.checksum(body) + body) == ping()
+
+
+def test_numbers_come_once_whatever_their_order_and_an_older_life_never() -> None:
+    window = Window((2, 0))
+    assert [window.fresh((2, 0), n) for n in (5, 3, 5, 4, 3, 100, 36, 37, 37)] == [
+        *(True, True, False, True, False),
+        *(True, False, True, False),
+    ]
+    assert not window.fresh((1, 9), 1_000)
+    assert window.fresh((3, 0), 1) and not window.fresh((2, 0), 101)
+
+
+@settings(max_examples=300)
+@given(st.binary(max_size=200), st.integers(0, 400), st.integers(0, 255))
+def test_fuzzed_frames_change_nothing_and_raise_nothing(noise: bytes, place: int, byte: int) -> None:
+    net = Net(1)
+    node = net.add(0)
+    frame = bytearray(SEAL.close(ping(rumors=[Rumor("g2", (1, 1), 0, State.ALIVE, "127.0.0.1", 9)])))
+    if place < len(frame):
+        changed = frame[place] != byte
+        frame[place] = byte
+        assert node.receive(1.0, WALL_MS, bytes(frame)) is not changed
+    assert not node.receive(1.0, WALL_MS, noise)
+    assert not node.exchanged(1.0, WALL_MS, noise, False)
+    sealed = SEAL.head + SEAL.checksum(noise) + noise
+    node.receive(1.0, WALL_MS, sealed)
+    node.exchanged(1.0, WALL_MS, sealed, True)
+    assert set(node.members.others) <= {"g1", "g2"}
+
+
+# ---- facts ----
+
+names = st.sampled_from(["a", "b"])
+entries = st.builds(
+    Entry,
+    kind=st.sampled_from(["ready", HELD_HOST]),
+    name=names,
+    origin=st.sampled_from(["g0", "g1", "g2"]),
+    life=st.tuples(st.integers(1, 2), st.integers(0, 1)),
+    version=st.integers(1, 3),
+    at=st.sampled_from([WALL_MS, WALL_MS - 5, WALL_MS + 10 * CLOCK_MS]),
+    value=st.sampled_from([None, "down", "up"]),
+)
+
+
+def merged(some: list[Entry]) -> dict[Any, Entry]:
+    facts = Facts("me", LIFE)
+    for entry in some:
+        facts.merge(0.0, WALL_MS, entry)
+    return {key: held.entry for key, held in facts.table.items()}
+
+
+@settings(max_examples=400)
+@given(st.lists(entries, max_size=12), st.randoms(use_true_random=False))
+def test_a_merge_is_the_same_in_any_order_and_any_number_of_times(
+    some: list[Entry], lot: random.Random
+) -> None:
+    other = [*some, *lot.sample(some, len(some) // 2)]
+    lot.shuffle(other)
+    assert merged(some) == merged(other)
+    half = len(some) // 2
+    assert merged([*merged(some[:half]).values(), *merged(some[half:]).values()]) == merged(some)
+
+
+def test_the_newest_call_wins_a_clock_too_far_ahead_is_not_believed_and_deletions_end() -> None:
+    facts = Facts("g0", LIFE)
+    assert facts.tell(0, WALL_MS, HELD_HOST, "b1", "down")
+    assert facts.tell(0, WALL_MS, HELD_HOST, "b1", "down") is None  # nothing new
+    call = Entry(HELD_HOST, "b1", "g1", (9, 9), 1, WALL_MS + CLOCK_MS + 1, "up")
+    assert not facts.merge(0, WALL_MS, call) and facts.refused["clock"] == 1
+    assert facts.outs(HELD_HOST) == {"b1": (True, WALL_MS)}
+    assert facts.merge(0, WALL_MS, msgspec.structs.replace(call, at=WALL_MS + 1))
+    assert not facts.tell(0, WALL_MS, HELD_HOST, "b1", "down")  # an older call than the one that holds
+    assert facts.outs(HELD_HOST) == {"b1": (False, WALL_MS + 1)}
+    assert facts.tell(0, WALL_MS, "ready", "", "yes") and facts.tell(1, WALL_MS, "ready", "", None)
+    later = WALL_MS + WITHDRAWN_MS + 1
+    facts.tidy(2, later, lambda name: LIFE)
+    assert facts.value("ready", "", "g0") is None and ("ready", "", "g0") not in facts.table
+    old = Entry("ready", "", "g1", LIFE, 1, WALL_MS, None)
+    assert not facts.merge(3, later, old)  # what has ended is not brought back by who still tells it
+
+
+def test_bounds_are_refused_at_the_origin_and_orphans_are_forgotten() -> None:
+    facts = Facts("g0", LIFE)
+    for number in range(MOST_OF_ORIGIN):
+        facts.tell(0, WALL_MS, "x", str(number), "v")
+    with pytest.raises(TooMuch):
+        facts.tell(0, WALL_MS, "x", "more", "v")
+    with pytest.raises(TooMuch):
+        facts.tell(0, WALL_MS, "x", "0", "v" * 1000)
+    greedy = [Entry("x", str(n), "g1", LIFE, 1, WALL_MS, "v") for n in range(MOST_OF_ORIGIN + 9)]
+    assert sum(facts.merge(0, WALL_MS, entry) for entry in greedy) == MOST_OF_ORIGIN
+    assert facts.refused["full"] == 9
+    lives = {"g1": LIFE}
+    facts.tidy(10, WALL_MS, lives.get)
+    assert facts.of["g1"] == MOST_OF_ORIGIN
+    lives["g1"] = (6, 1)  # a later life: what the earlier one told ends
+    facts.tidy(20, WALL_MS, lives.get)
+    facts.tidy(100, WALL_MS, lives.get)
+    assert "g1" not in facts.of and facts.of["g0"] == MOST_OF_ORIGIN
+
+
+# ---- members ----
+
+
+def rumor(name: str, life: int, incarnation: int, state: State, by: str = "") -> Rumor:
+    return Rumor(name, (life, 0), incarnation, state, "127.0.0.1", 7, by)
+
+
+rumors = st.builds(
+    rumor,
+    st.sampled_from(["g1", "g2"]),
+    st.integers(1, 2),
+    st.integers(0, 2),
+    st.sampled_from(list(State)),
+    st.sampled_from(["", "g3"]),
+)
+
+
+@settings(max_examples=400)
+@given(st.lists(rumors, max_size=12), st.randoms(use_true_random=False))
+def test_what_is_known_of_members_does_not_depend_on_the_order_of_rumors(
+    some: list[Rumor], lot: random.Random
+) -> None:
+    def known(given: list[Rumor]) -> dict[str, Any]:
+        members = Members(rumor("g0", 1, 0, State.ALIVE), random.Random(1), 0.0)
+        for one in given:
+            members.take(one, 0.0)
+        return {n: (m.rumor.life, m.rumor.incarnation, m.rumor.state) for n, m in members.others.items()}
+
+    other = [*some, *some[:3]]
+    lot.shuffle(other)
+    assert known(some) == known(other)
+
+
+def test_three_members_under_every_order_and_loss_of_few_messages() -> None:
+    """Exhaustive: after any fate of its first messages a member that lives and is reachable is seen alive."""
+    for fates in itertools.product((0, 1, 2), repeat=5):
+        net = Net(7, trip_s=0.01, jitter_s=0.0)
+        for number in range(3):
+            net.add(number, seeds=(0,))
+        net.run(3.0)
+        net.fates = list(fates)  # lost, late or doubled
+        net.run(12.0)
+        assert net.whole(), fates
+
+
+def test_two_lives_of_one_name_never_merge_and_the_later_one_holds() -> None:
+    net = fleet(6, 1)
+    first = net.nodes[address_of(3)]
+    other = net.add(30, seeds=(0,), name="g3", life=(first.members.me.life[0] + 1, 1))  # at another address
+    net.run(10)
+    assert first.members.taken_over and not other.members.taken_over
+    for node in net.nodes.values():
+        if node.members.me.name != "g3":
+            member = node.members.others["g3"]
+            assert member.rumor.life == other.members.me.life and member.address == address_of(30)
+    net.remove(30)  # the later one dies: the first has its name again, above it
+    net.run(60)
+    assert not first.members.taken_over and first.members.me.life > other.members.me.life
+    assert net.all_see("g3", {State.ALIVE})
+
+
+def test_a_name_that_comes_back_has_a_higher_life_and_facts_of_the_old_one_end() -> None:
+    net = fleet(5, 2)
+    old = net.nodes[address_of(4)]
+    old.tell(net.now, net.wall(address_of(4)), "ready", "", "yes")
+    net.run(3)
+    net.remove(4)
+    new = net.add(4, seeds=(0,))
+    net.run(5)
+    assert net.all_see("g4", {State.ALIVE}) and new.members.me.life > old.members.me.life
+    new.tell(net.now, net.wall(address_of(4)), "ready", "", "no")
+    net.run(3)
+    assert {n.facts.value("ready", "", "g4") for n in net.nodes.values()} == {"no"}
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_death_is_known_to_all_and_leaving_is_not_a_death(seed: int) -> None:
+    net = fleet(20, seed)
+    net.remove(7)
+    assert net.run(10, lambda: net.all_see("g7", {State.DEAD}))
+    leaver = net.nodes[address_of(8)]
+    leaver.leave(net.now)
+    net.carry(address_of(8), leaver)
+    net.remove(8)
+    assert net.run(10, lambda: net.all_see("g8", {State.LEFT}))
+    net.run(GONE_S + 30)
+    assert not any("g7" in node.members.others for node in net.nodes.values())
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_with_thirty_in_a_hundred_lost_and_doubled_the_living_are_seen(seed: int) -> None:
+    net = fleet(12, seed)
+    net.loss, net.duplicate = 0.3, 0.1
+    net.run(60)
+    net.loss = 0.0
+    assert net.run(30, net.whole)
+
+
+def test_one_that_stood_still_kills_nobody_and_is_seen_again() -> None:
+    net = fleet(12, 3)
+    for for_s in (1.0, 5.0, 20.0):
+        died = net.nodes[address_of(4)].members.counts["died"]
+        net.stop(4, for_s)
+        net.run(for_s + 0.5)
+        assert net.nodes[address_of(4)].members.counts["died"] == died
+        assert net.run(40, net.whole)
+
+
+def test_asymmetric_links_do_not_drive_anybody_out() -> None:
+    net = fleet(10, 4)
+    net.cut = lambda a, b: (a, b) == (address_of(1), address_of(2))
+    net.run(30)
+    assert net.whole()  # the others ask on each one's behalf
+
+
+def test_halves_that_declared_each_other_dead_find_each_other_and_know_who_is_few() -> None:
+    net = fleet(9, 5)
+    few = {address_of(n) for n in (6, 7, 8)}
+    net.cut = lambda a, b: (a in few) is not (b in few)
+    net.run(30)
+    for address, node in net.nodes.items():
+        assert node.members.size == (3 if address in few else 6)
+        assert node.members.minority is (address in few)
+    net.cut = lambda a, b: False
+    assert net.run(60, net.whole)
+    assert not any(node.members.minority for node in net.nodes.values())
+
+
+def test_seeds_dead_or_wrong_and_a_whole_fleet_at_once() -> None:
+    net = Net(6)
+    for number in range(30):
+        net.add(number, seeds=(90, 0, 1))
+    assert net.run(20, net.whole)
+    alone = Net(7)
+    node = alone.add(0, seeds=(50,))
+    alone.run(30)
+    assert node.members.size == 1 and not node.members.minority
+
+
+def test_seventy_in_a_hundred_die_at_once_and_the_rest_knows() -> None:
+    net = fleet(60, 8)
+    for number in range(42):
+        net.remove(number)
+    dead = {f"g{n}" for n in range(42)}
+    assert net.run(60, lambda: all(net.all_see(name, {State.DEAD}) for name in dead))
+    assert all(node.members.minority for node in net.nodes.values())
+    assert net.whole()
+
+
+def test_clocks_minutes_apart_and_a_table_at_its_bound() -> None:
+    net = Net(9)
+    net.clocks[address_of(2)] = 600_000.0
+    for number in range(5):
+        net.add(number)
+    assert net.run(10, net.whole)
+    ahead = net.nodes[address_of(2)]
+    ahead.tell(net.now, net.wall(address_of(2)), "ready", "", "yes")
+    ahead.tell(net.now, net.wall(address_of(2)), HELD_HOST, "b0", "down")
+    net.run(15)
+    for address, node in net.nodes.items():
+        assert node.facts.value("ready", "", "g2") == "yes"  # of itself: no clocks are compared
+        assert (node.facts.value(HELD_HOST, "b0") == "down") is (address == address_of(2))
+
+
+def test_a_replayed_datagram_and_one_of_its_own_change_nothing() -> None:
+    net = fleet(3, 10)
+    node, other = net.nodes[address_of(0)], net.nodes[address_of(1)]
+    other.tell(net.now, net.wall(address_of(1)), "x", "", "1")
+    other._send(address_of(0), Kind.NEWS)
+    frame = other.take()[-1][1]
+    assert node.receive(net.now, WALL_MS, frame) and not node.receive(net.now, WALL_MS, frame)
+    assert node.refused["replay"] == 1
+    assert not other.receive(net.now, WALL_MS, frame) and other.refused["own"] == 1
+    state = other.state(False)
+    assert not node.exchanged(net.now, WALL_MS, state, True)  # not the answer that was waited for
+    assert isinstance(SEAL.exchange(state), Exchange)
+
+
+def test_a_datagram_stays_under_its_bound_however_much_there_is_to_tell() -> None:
+    net = fleet(4, 11)
+    node: Node = net.nodes[address_of(0)]
+    for number in range(MOST_OF_ORIGIN):
+        node.tell(net.now, WALL_MS, "kind" * 10, "n" * 50 + str(number), "\u20ac" * 400)
+    for _ in range(30):
+        node._send(address_of(1), Kind.NEWS)
+    assert max(len(frame) for _, frame in node.take()) <= MOST_DATAGRAM
+
+
+# ---- the configuration ----
+
+
+def config(tmp_path: Path, **changes: Any) -> dict[str, Any]:
+    secret = tmp_path / "secret"
+    secret.write_text("a secret that is long enough")
+    given = {"name": "f", "listen": "127.0.0.1:7946", "seeds": ["127.0.0.2:7946"], "secret": str(secret)}
+    given |= changes
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "settings": {"classes": [], "rules": {}},
+        "fleet": {key: value for key, value in given.items() if value is not ...},
+    }
+
+
+def test_a_good_table_is_read_and_none_is_none(tmp_path: Path) -> None:
+    line = parse_config(config(tmp_path)).line
+    assert line is not None and line.advertise == line.listen == ("127.0.0.1", 7946)
+    assert "secret that" not in repr(line)
+    assert parse_config({**config(tmp_path), "fleet": None}).line is None
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"name": ""},
+        {"name": 7},
+        {"listen": ...},
+        {"listen": "here"},
+        {"listen": "127.0.0.1:0"},
+        {"advertise": "127.0.0.1"},
+        {"seeds": "127.0.0.1:1"},
+        {"seeds": ["nowhere"]},
+        {"secret": ...},
+        {"secret": "/no/such/file"},
+        {"secret": "/dev/null"},
+        {"colour": "blue"},
+    ],
+)
+def test_a_malformed_table_refuses_the_start(tmp_path: Path, changes: dict[str, Any]) -> None:
+    with pytest.raises(ConfigError) as error:
+        parse_config(config(tmp_path, **changes))
+    assert "\n" not in str(error.value)
+    json.dumps(str(error.value))
--- /dev/null
+++ b/tests/test_line_plays.py
@@ -0,0 +1,177 @@
+"""The line between gateways, with several processes of the program and faults between them."""
+
+from __future__ import annotations
+
+import json
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from fleetlab.fixture import Played, Plays
+from roadpulley import ctl
+
+ROOT = Path(__file__).parents[1]
+LINE: dict[str, Any] = {"line": True, "seeds": 2}
+AMONG = {"between": ["gateways"], "and": ["gateways"]}
+SMALL: dict[str, Any] = {"backends": {"count": 2}, "load": {"rate": 10.0, "customers": 4}}
+
+
+def views(played: Played, gateway: str) -> list[dict[str, Any]]:
+    return played.of("view", g=gateway, status=200)
+
+
+def look(at_s: float, *gateways: str, for_s: float = 0.0) -> dict[str, Any]:
+    return {"kind": "view", "at_s": at_s, "gateways": list(gateways) or ["*"], "for_s": for_s}
+
+
+@pytest.mark.timeout(120)
+def test_a_death_a_return_a_leave_and_what_is_out_by_hand_come_to_be_known_by_all(lab: Plays) -> None:
+    played = lab(
+        duration_s=10.0,
+        fleet={"gateways": 6, "state": True, "settle_s": 2.0, **LINE},
+        **SMALL,
+        faults=[
+            {"kind": "operators", "at_s": 0.1, "gateways": ["g1"], "call": "backends/down", "id": "b1"},
+            {"kind": "link", "at_s": 0.2, "for_s": 9, "loss": 0.1, **AMONG},
+            {"kind": "kill", "at_s": 0.5, "gateways": ["g0"], "back_s": 6.0},
+            {"kind": "term", "at_s": 0.5, "gateways": ["g5"]},
+            look(6.0),
+            look(9.8),
+        ],
+    )
+    assert not played.result.breaches
+    first, last = (views(played, "g2")[0], views(played, "g2")[-1])
+    assert first["members"]["g0"] == "dead" and first["members"]["g5"] == "left"
+    assert {name: first["members"][name] for name in ("g1", "g3", "g4")} == dict.fromkeys(
+        ("g1", "g3", "g4"), "alive"
+    )
+    assert ["held-host", "b1", "g1", "down"] in first["facts"]  # one disk and one call: all know of it
+    assert last["members"]["g0"] == "alive"  # back under its name, with a higher life
+    assert views(played, "g0")[-1]["members"]["g5"] == "left" and not last["minority"]
+    known = {tuple(f[:3]) for f in views(played, "g0")[-1]["facts"]}
+    assert {("zone", "", "g2"), ("ready", "", "g3"), ("held-host", "b1", "g1")} <= known
+
+
+@pytest.mark.timeout(120)
+def test_a_cut_off_minority_knows_it_and_serves_on(lab: Plays) -> None:
+    few, many = ["g0", "g1"], ["g2", "g3", "g4"]
+    cut = {"kind": "link", "at_s": 0.1, "for_s": 9.8, "between": few, "and": many, "cut": True}
+    played = lab(
+        duration_s=10.0,
+        fleet={"gateways": 5, "settle_s": 2.0, **LINE},
+        **SMALL,
+        faults=[cut, look(9.5)],
+    )
+    assert not played.result.breaches  # serving does not depend on the line
+    for name in few:
+        assert views(played, name)[0]["minority"] and views(played, name)[0]["members"]["g3"] == "dead"
+    for name in many:
+        assert not views(played, name)[0]["minority"] and views(played, name)[0]["members"]["g0"] == "dead"
+
+
+@pytest.mark.timeout(120)
+def test_a_stopped_process_and_a_one_way_link_kill_nobody(lab: Plays) -> None:
+    one_way = {"between": ["g1"], "and": ["g2"], "cut": True, "one_way": True}
+    played = lab(
+        duration_s=9.5,
+        fleet={"gateways": 6, "settle_s": 2.0, **LINE},
+        **SMALL,
+        faults=[
+            {"kind": "link", "at_s": 0.2, "for_s": 8.0, **one_way},
+            {"kind": "stop", "at_s": 1.0, "gateways": ["g4"], "for_s": 4.0},
+            look(5.2, "g4"),
+            look(9.0),
+        ],
+    )
+    woken = views(played, "g4")[0]["members"]
+    assert "dead" not in woken.values()  # it holds its own silence against nobody
+    assert not played.result.breaches
+    for name in ("g0", "g1", "g2", "g3", "g5"):
+        seen = views(played, name)[-1]["members"]
+        assert {seen[other] for other in ("g1", "g2") if other != name} == {"alive"}
+
+
+@pytest.mark.timeout(120)
+def test_sighup_adds_and_removes_the_line_and_a_bad_table_changes_nothing(lab: Plays, tmp_path: Path) -> None:
+    secret = tmp_path / "secret"
+    secret.write_text("another secret, long enough")
+    other = {"name": "lab", "listen": "127.0.0.1:9", "seeds": [], "secret": str(tmp_path / "none")}
+    played = lab(
+        duration_s=8.0,
+        fleet={"gateways": 4, "settle_s": 2.0, **LINE},
+        **SMALL,
+        faults=[
+            {"kind": "hup", "at_s": 0.2, "gateways": ["g1"], "change": {"fleet": other}},
+            {"kind": "hup", "at_s": 0.2, "gateways": ["g2"], "remove": ["fleet"]},
+            look(5.5),
+        ],
+    )
+    assert not played.result.breaches
+    assert views(played, "g1")[0]["members"]["g0"] == "alive"  # as before: the new table is not taken
+    assert played.of("view", g="g2")[0]["status"] == 404
+    assert views(played, "g0")[0]["members"]["g2"] == "left"
+    log = (played.folder / "gateways/g1/life-1.log").read_text()
+    assert "the changed configuration is not taken" in log and "fleet: secret" in log
+
+
+@pytest.mark.timeout(120)
+def test_spoilt_and_foreign_datagrams_are_counted_and_two_of_one_name_are_told_apart(
+    lab: Plays, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    from fleetlab import stage
+
+    def throw(self: stage.Stage, gateway: Any, before: Any = stage.Stage.start_gateway) -> Any:
+        noise = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        noise.bind((gateway.host, 0))  # as if from a member
+        for number in range(20):
+            noise.sendto(bytes([1]) + b"x" * number * 70, self.gateways["g0"].line_at)
+        noise.close()
+        return before(self, gateway)
+
+    monkeypatch.setattr(stage.Stage, "start_gateway", throw)
+    played = lab(
+        duration_s=6.0,
+        fleet={"gateways": 3, "settle_s": 1.0, "extra": {}, **LINE},
+        **SMALL,
+        faults=[{"kind": "kill", "at_s": 0.2, "gateways": ["g2"], "back_s": 0.1}, look(5.5)],
+    )
+    seen = views(played, "g0")[0]
+    assert seen["members"]["g2"] == "alive" and {"fleet", "garbage"} & seen["dropped"].keys()
+    assert not played.result.breaches
+
+
+def test_ctl_shows_who_sees_whom_and_marks_differences(
+    monkeypatch: pytest.MonkeyPatch, capsys: Any
+) -> None:
+    def view(name: str, **states: str) -> dict[str, Any]:
+        rows = {n: {"state": s, "life": [1, 2], "heard_s": 3.0, "zone": "a"} for n, s in states.items()}
+        return {"name": name, "members": rows, "minority": name == "g1"}
+
+    answers = {
+        "a:1": view("g0", g0="self", g1="alive", g2="dead"),
+        "b:1": view("g1", g0="alive", g1="self", g2="alive"),
+        "c:1": "refused",
+    }
+    monkeypatch.setattr(ctl, "ask", answers.__getitem__)
+    with pytest.raises(SystemExit) as ended:
+        ctl.members.main(["a:1", "b:1", "c:1"], standalone_mode=False)
+    shown = capsys.readouterr().out
+    assert ended.value.code == 1
+    assert shown.count("differs") == 1 and "dead 3 s" in shown and "g1 knows itself in a minority" in shown
+    assert "c:1 did not answer: refused" in shown
+    with pytest.raises(SystemExit):
+        ctl.members.main(["a:1", "b:1", "c:1", "--json"], standalone_mode=False)
+    assert json.loads(capsys.readouterr().out)["differences"] == {"g2": ["alive", "dead"]}
+
+
+def test_without_the_table_nothing_of_the_line_is_imported() -> None:
+    code = (
+        "import sys, roadpulley.__main__, roadpulley.service;"
+        "line = 'roadpulley.fleet', 'roadpulley.peers', 'msgspec';"
+        "sys.exit(any(m.startswith(line) for m in sys.modules))"
+    )
+    assert subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=False).returncode == 0
