--- a/fleetlab/line.py
+++ b/fleetlab/line.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from roadpulley.fleet.members import Address
-from roadpulley.fleet.messages import Life, Seal, State
+from roadpulley.fleet.messages import Entry, Life, Rumor, Seal, State
 from roadpulley.fleet.node import Node
 
 WALL_MS = 1.8e12
@@ -37,6 +37,7 @@
         self.due: dict[Address, float] = {}  # the next tick
         self.held: dict[Address, list[bytes]] = {}  # for a process that is stopped
         self.counts: Counts[str] = Counts()
+        self.watched, self.known_dead = "", 0
         self.fates: list[int] = []  # of the next datagrams, the last first: 0 lost, 1 late, 2 doubled
 
     def wall(self, at: Address) -> float:
@@ -135,6 +136,35 @@
 
     # ---- what is seen ----
 
+    def watch(self, name: str) -> bool:
+        """Count the members that come to know of a death, without looking at all of them at each event."""
+        if self.watched != name:
+            self.watched, self.known_dead = name, 0
+            for node in self.nodes.values():
+                if self.sees(node, name) is State.DEAD:
+                    self.known_dead += 1
+                self._listen(node)
+        return True
+
+    def _listen(self, node: Node) -> None:
+        tell = node._news_of_member
+
+        def changed(rumor: Rumor) -> None:
+            if rumor.name == self.watched and rumor.state is State.DEAD:
+                self.known_dead += 1
+            tell(rumor)
+
+        node.members.changed = changed
+
+    def count_facts(self, kind: str) -> None:
+        """Count each node that comes to know a fact of a kind."""
+
+        def told(entry: Entry) -> None:
+            self.counts["facts"] += entry.kind == kind
+
+        for node in self.nodes.values():
+            node.told = told
+
     def sees(self, node: Node, name: str) -> State | None:
         member = node.members.others.get(name)
         return member.state if member is not None else None
--- /dev/null
+++ b/measure/line.py
@@ -0,0 +1,107 @@
+"""The line between gateways on a hand-set clock: deaths, false deaths, facts, and what it sends.
+
+    .venv/bin/python measure/line.py 40 200 1000          # members; three seeds each
+    .venv/bin/python measure/line.py 40 --false 10        # minutes
+
+False deaths are counted with 10% loss, while each 5 s one in twenty is stopped for 1 s. It needs the lab
+extra. Times are of the hand-set clock, so they are the same on any machine.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+from pathlib import Path
+
+sys.path[:0] = [str(Path(__file__).resolve().parents[1])]
+
+from fleetlab.line import Net, address_of, fleet  # noqa: E402
+from roadpulley.fleet.messages import State  # noqa: E402
+
+SEEDS, DEATHS, SETTLE_S, QUIET_S, LIMIT_S = (1, 2, 3), 5, 20.0, 10.0, 30.0
+LOSS, STOP_S, EACH_S, PART = 0.1, 1.0, 5.0, 20
+
+
+def spread(values: list[float]) -> str:
+    return f"{min(values):.2f} to {max(values):.2f}"
+
+
+def deaths(net: Net) -> tuple[list[float], list[float]]:
+    """Seconds until the first and until 99 in 100 know of each of some deaths."""
+    first, most = [], []
+    for number in range(5, 5 + DEATHS):
+        net.remove(number)
+        begun, name = net.now, f"g{number}"
+        net.run(LIMIT_S, lambda name=name: net.known_dead > 0 if net.watch(name) else False)
+        first.append(net.now - begun)
+        net.run(LIMIT_S, lambda: net.known_dead >= 0.99 * len(net.nodes))
+        most.append(net.now - begun)
+        net.run(3.0)
+    return first, most
+
+
+def told(net: Net) -> float:
+    """Seconds until a fact has reached all."""
+    teller = net.nodes[address_of(20)]
+    begun = net.now
+    teller.tell(net.now, net.wall(address_of(20)), "measure", "", "1")
+    net.run(LIMIT_S, lambda: net.counts["facts"] >= len(net.nodes) - 1)
+    return net.now - begun
+
+
+def play(size: int) -> None:
+    first, most, facts, sent, octets = [], [], [], [], []
+    for seed in SEEDS:
+        net = fleet(size, seed)
+        net.run(SETTLE_S)
+        before = dict(net.counts)
+        net.run(QUIET_S)
+        sent.append((net.counts["datagrams"] - before["datagrams"]) / QUIET_S / size)
+        octets.append((net.counts["bytes"] - before["bytes"]) / QUIET_S / size)
+        net.count_facts("measure")
+        facts.append(told(net))
+        one, other = deaths(net)
+        first += one
+        most += other
+    print(
+        f"{size} members: first knows of a death after {spread(first)} s, 99% after {spread(most)} s; a fact "
+        f"reaches all in {spread(facts)} s; quiet, a member and second: {spread(sent)} datagrams, "
+        f"{spread(octets)} bytes",
+        flush=True,
+    )
+
+
+def false_deaths(size: int, minutes: float) -> None:
+    for seed in SEEDS:
+        net, chance = fleet(size, seed), random.Random(seed)
+        net.loss = LOSS
+        before = sum(node.members.counts["died"] for node in net.nodes.values())
+        stops = 0
+        for _ in range(int(minutes * 60 / EACH_S)):
+            for number in chance.sample(range(size), max(1, size // PART)):
+                net.stop(number, STOP_S)
+                stops += 1
+            net.run(EACH_S)
+        net.loss = 0.0
+        net.run(20.0)
+        died = sum(node.members.counts["died"] for node in net.nodes.values()) - before
+        left = sum(m.state is not State.ALIVE for n in net.nodes.values() for m in n.members.others.values())
+        seen = f"{stops} stops, {died} views of a false death, {left} left"
+        print(f"{size} members, seed {seed}: {seen}", flush=True)
+
+
+def main() -> None:
+    words = argparse.ArgumentParser()
+    words.add_argument("sizes", nargs="+", type=int)
+    words.add_argument("--false", dest="minutes", type=float)
+    given = words.parse_args()
+    for size in given.sizes:
+        if given.minutes:
+            false_deaths(size, given.minutes)
+        else:
+            play(size)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -281,3 +281,42 @@
         with pytest.raises((ValueError, TypeError)):
             world.give(api.BesideSaid(said))
     assert list(world.gateway.customers) == ["c"]
+
+
+def test_the_line_to_other_gateways_passes_to_the_new_process(tmp_path: Path) -> None:
+    """The other gateways see one member all along: with the old life, and then with the new one."""
+
+    async def scenario() -> None:
+        (tmp_path / "secret").write_text("a secret that is long enough")
+        own, other = free_port(), free_port()
+
+        def line(listen: int, seed: int) -> dict[str, object]:
+            at, seeds = f"{LOCAL}:{listen}", [f"{LOCAL}:{seed}"]
+            return {"name": "f", "listen": at, "seeds": seeds, "secret": str(tmp_path / "secret")}
+
+        (tmp_path / "a").mkdir()
+        (tmp_path / "b").mkdir()
+        async with site(tmp_path / "a", Backend()) as place, site(tmp_path / "b", Backend()) as watcher:
+            watcher.world.name = "n1"
+            for which, table in ((place, line(own, other)), (watcher, line(other, own))):
+                given = json.loads(which.config.read_text())
+                which.config.write_text(json.dumps({**given, "name": which.world.name, "fleet": table}))
+            await watcher.start()
+
+            async def seen() -> dict[str, object]:
+                _, body = await call(watcher.world, "GET", "/ops/fleet")
+                row = dict(json.loads(body)["members"].get("n0", {}))
+                assert row.get("state") in (None, "alive", "suspect")
+                return row
+
+            old = await place.start()
+            while not (first := await seen()):
+                await asyncio.sleep(0.05)
+            await place.start()
+            while (await seen())["life"] <= first["life"]:  # type: ignore[operator]
+                await asyncio.sleep(0.05)
+            await old.wait()
+            await asyncio.sleep(1.0)  # longer than an answer to a ping may take
+            assert (await seen())["state"] in ("alive", "suspect")
+
+    in_loop(scenario)
