Bans from peers at a start: what a lost or old disk forgets the other gateways know

A test with four processes, two disks lost, an old copy, a fifth of messages lost, one way of a link cut.

--- a/roadpulley/fleet/node.py
+++ b/roadpulley/fleet/node.py
@@ -98,6 +98,7 @@
         self.probe: Probe | None = None
         self.favours: dict[int, Favour] = {}
         self.windows: dict[str, Window] = {}
+        self.exchanged_with: set[str] = set()  # members whose whole state has come in this life
         self.refused: dict[str, int] = {}
         self.sent = self.sent_bytes = self.taken = 0
         self.probe_at = now + chance.uniform(0, PROBE_S)
@@ -273,6 +274,10 @@
             if lost:
                 self.exchange_with.append(self.chance.choice(lost))
 
+    def ask_more(self, number: int) -> None:
+        """Exchange soon with so many members, by chance, whose whole state has not come yet."""
+        self.exchange_with += [m.address for m in self.members.some(number, without=self.exchanged_with)]
+
     def exchanges(self) -> list[Address]:
         """Whom to exchange all that is known with, now."""
         wanted, self.exchange_with = self.exchange_with, []
@@ -394,6 +399,8 @@
             return False
         self._take(now, message.rumors, message.entries)
         self.members.heard(message.sender, message.life, now)
+        self.exchanged_with &= self.members.others.keys()
+        self.exchanged_with.add(message.sender)
         self.join_wait = JOIN_S[0]
         return True
 
--- a/roadpulley/peers.py
+++ b/roadpulley/peers.py
@@ -91,6 +91,7 @@
         self.spoilt_at = 0.0
         self.reported: dict[str, int] = {}
         self.report_at = self.loop.time() + REPORT_S
+        self.looked: Callable[[], None] = lambda: None  # called after each look at what is to be told
         self.quiet = False  # another process has this name
         self.closed = False
 
@@ -98,6 +99,7 @@
 
     async def open(self) -> None:
         """Take part; where the address can't be had it is tried again, and the gateway serves meanwhile."""
+        self._tell(self.loop.time())  # before anyone can ask
         try:
             self.server = await asyncio.start_server(self._serve, *self.line.listen, backlog=BACKLOG)
             await self.loop.create_datagram_endpoint(lambda: self, local_addr=self.line.listen)
@@ -177,6 +179,7 @@
         if now >= self.words_at:
             self.words_at = now + FACTS_S
             self._tell(now)
+            self.looked()
         self.node.tick(now, now_ms())
         self._flush()
         if now >= self.report_at:
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -31,6 +31,7 @@
 if TYPE_CHECKING:
     from .peers import Peers, Word
     from .recovery import Recovery
+    from .rejoin import Rejoin
 
 log = logging.getLogger(__name__)
 
@@ -110,6 +111,7 @@
             holds=self.share,
         )
         self.peers: Peers | None = None  # the other gateways, if there is a line to them
+        self.rejoin: Rejoin | None = None  # what was taken from them at the start
         self.emptying: asyncio.Task[None] | None = None  # until nothing is left of a hand-over
         self.driver.states = self.states
 
@@ -143,6 +145,7 @@
         """The connections by state, and what is held of the descriptors."""
         of_state = self.recovery.gauges() if self.recovery is not None else {}
         of_line = self.peers.gauges() if self.peers is not None else {}
+        of_line |= self.rejoin.gauges() if self.rejoin is not None else {}
         return self.clients.gauges() | self.backends.gauges() | self.budget.gauges() | of_state | of_line
 
     def states(self) -> dict[str, int]:
@@ -224,6 +227,8 @@
             await self.recovery.restore(took_over)
         if self.config.operator is not None:
             self.operators.listen(self.config.operator)
+        if self.recovery is not None and self.config.line is not None and not took_over:
+            await self.hear_fleet()
         port = self.clients.listen(inherited() or listening(self.config.listen, BACKLOG))
         gc.collect()
         gc.freeze()  # what was loaded stays: no pause to look at it again
@@ -242,6 +247,17 @@
 
     # ---- the line to other gateways ----
 
+    async def hear_fleet(self) -> None:
+        """Before clients: what the others know that a lost or an old disk does not."""
+        from .fleet.facts import HELD_HOST, HELD_ZONE
+        from .rejoin import Rejoin
+
+        await self.join()
+        if self.peers is not None:
+            self.rejoin = Rejoin(self.peers, {HELD_HOST: self.bans, HELD_ZONE: self.zones})
+            await self.rejoin.hear()
+            self.peers.looked = self.rejoin.adopt
+
     async def join(self) -> None:
         """Take part in the fleet, if the configuration names one."""
         if self.config.line is None or self.peers is not None:
--- a/tests/test_fleet_line.py
+++ b/tests/test_fleet_line.py
@@ -12,6 +12,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from fleetlab.line import SEAL, WALL_MS, Net, address_of, fleet
 from roadpulley.config import ConfigError, parse_config
@@ -401,3 +402,84 @@
         parse_config(config(tmp_path, **changes))
     assert "\n" not in str(error.value)
     json.dumps(str(error.value))
+
+
+def test_a_member_that_flaps_is_at_the_end_what_it_is() -> None:
+    net = fleet(8, 12)
+    for _ in range(6):
+        net.remove(3)
+        net.run(2.2)
+        net.add(3, seeds=(0,))
+        net.run(1.3)
+    assert net.run(20, net.whole)
+    lives = {node.members.others["g3"].rumor.life for a, node in net.nodes.items() if a != address_of(3)}
+    assert lives == {net.nodes[address_of(3)].members.me.life}
+
+
+class AnyPlay(RuleBasedStateMachine):
+    """Four members under any order of cuts, losses, stops, deaths, returns; at the end all is well."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.net = fleet(4, 13)
+        self.cuts: set[tuple[int, int]] = set()
+        self.net.cut = lambda a, b: (place_of(a), place_of(b)) in self.cuts
+        self.told = 0
+
+    @rule(a=st.integers(0, 3), b=st.integers(0, 3))
+    def cut_one_way(self, a: int, b: int) -> None:
+        self.cuts.add((a, b))
+
+    @rule()
+    def heal(self) -> None:
+        self.cuts.clear()
+
+    @rule(loss=st.sampled_from([0.0, 0.3]), duplicate=st.sampled_from([0.0, 0.5]))
+    def lose(self, loss: float, duplicate: float) -> None:
+        self.net.loss, self.net.duplicate = loss, duplicate
+
+    @rule(who=st.integers(0, 3), for_s=st.sampled_from([1.0, 6.0]))
+    def stop(self, who: int, for_s: float) -> None:
+        self.net.stop(who, for_s)
+
+    @rule(who=st.integers(0, 3))
+    def start_again(self, who: int) -> None:
+        self.net.run(0.01)
+        self.net.add(who, seeds=(0, 1))
+
+    @rule(who=st.integers(0, 3))
+    def tell(self, who: int) -> None:
+        self.told += 1
+        node, at = self.net.nodes[address_of(who)], address_of(who)
+        node.tell(self.net.now, self.net.wall(at), "x", str(who), str(self.told))
+
+    @rule(for_s=st.sampled_from([0.3, 2.0, 8.0]))
+    def pass_time(self, for_s: float) -> None:
+        self.net.run(for_s)
+
+    @invariant()
+    def no_life_is_seen_that_was_never_lived(self) -> None:
+        for node in self.net.nodes.values():
+            for member in node.members.others.values():
+                alive = self.net.nodes[member.address].members.me
+                assert member.rumor.life <= alive.life and member.rumor.name == alive.name
+
+    def teardown(self) -> None:
+        self.cuts.clear()
+        self.net.loss = self.net.duplicate = 0.0
+        assert self.net.run(90, self.net.whole)
+        self.net.run(60)  # exchanges: whatever was missed is repaired
+        lives = {node.members.me.life for node in self.net.nodes.values()}
+        of_living = [
+            {(e.kind, e.name, e.value) for e in node.facts.entries() if e.life in lives}
+            for node in self.net.nodes.values()
+        ]
+        assert all(one == of_living[0] for one in of_living)
+
+
+def place_of(address: tuple[str, int]) -> int:
+    return int(address[0].rpartition(".")[2]) - 1
+
+
+AnyPlay.TestCase.settings = settings(max_examples=25, stateful_step_count=12)
+TestAnyPlay = AnyPlay.TestCase
--- a/tests/test_line_plays.py
+++ b/tests/test_line_plays.py
@@ -144,6 +144,41 @@
     assert not played.result.breaches
 
 
+@pytest.mark.timeout(120)
+def test_a_ban_outlives_a_power_loss_of_all_while_one_disk_is_whole(lab: Plays) -> None:
+    """With messages lost and one gateway cut off one way; and a later `up` is not undone by an older disk."""
+    cut = {"between": ["g3"], "and": ["g1"], "cut": True, "one_way": True}
+    played = lab(
+        duration_s=10.0,
+        fleet={"gateways": 4, "state": True, "settle_s": 2.0, **LINE},
+        backends={"count": 4},
+        load={"rate": 40.0, "customers": 8, "work": 0.2, "notice_s": 0.5},
+        faults=[
+            {"kind": "operators", "at_s": 0.1, "gateways": ["*"], "call": "backends/down", "id": "b1"},
+            {"kind": "operators", "at_s": 0.1, "gateways": ["*"], "call": "backends/down", "id": "b2"},
+            {"kind": "operators", "at_s": 1.5, "gateways": ["*"], "call": "backends/up", "id": "b2"},
+            {"kind": "link", "at_s": 2.0, "for_s": 8.0, "loss": 0.2, **AMONG},
+            {"kind": "link", "at_s": 2.0, "for_s": 8.0, **cut},
+            {
+                "kind": "power",
+                "at_s": 3.0,
+                "gateways": ["*"],
+                "backends": ["*"],
+                "disks": {"g0": "lost", "g1": "lost", "g2": "old", "g3": "kept"},
+                "old_from_s": 1.0,
+                "discovery_late_s": 1.0,
+            },
+            look(9.5),
+        ],
+    )
+    assert not played.result.breaches
+    for name in ("g0", "g1", "g2", "g3"):
+        words = {f[1]: f[3] for f in views(played, name)[0]["facts"] if f[0] == "held-host"}
+        assert words["b1"] == "down" and words.get("b2", "up") == "up"
+    served = [e["t"] for e in played.of("got") if e["t"] > 3.5]
+    assert served and all(e["b"] != "b1" for e in played.of("got") if e["t"] > 3.5)
+
+
 def test_ctl_shows_who_sees_whom_and_marks_differences(
     monkeypatch: pytest.MonkeyPatch, capsys: Any
 ) -> None:
