--- a/tests/test_lab_plays.py
+++ b/tests/test_lab_plays.py
@@ -79,6 +79,20 @@
     assert played.breaches("ceilings") and played.result.figures["units beyond ceilings"] > 0
 
 
+@pytest.mark.timeout(120)
+def test_work_that_is_denied_and_a_backend_that_answers_for_others_are_found(lab: Plays) -> None:
+    restarts = [{"kind": "backend", "at_s": at, "backends": ["b1"], "what": "restart"} for at in (2, 3, 4, 5)]
+    played = lab(
+        duration_s=6.0,
+        fleet={"gateways": 2, "altered": {"g0": ["denies"]}},
+        backends={"count": 2, "breaks": {"b0": "value"}},
+        load={"rate": 40.0, "customers": 12},
+        faults=restarts,
+    )
+    assert {g for one in played.breaches("refusals") for g in one["gateways"]} == {"g0"}
+    assert played.breaches("made-up") and "made-up" in played.breaches("made-up")[0]["what"]
+
+
 @pytest.mark.timeout(120)
 def test_faults_strike_whom_they_name_and_the_rest_keep_the_rules(lab: Plays, tmp_path: Path) -> None:
     played = lab(
