The lab ends on SIGINT and SIGTERM also where it was started with them ignored

Cause: such a shell starts its children with SIGINT ignored, and Python then installs no handler of its own (play.py relied on it). Change: a play cancels itself on both signals. Result: the test passes with SIGINT ignored by its parent, and without.

--- a/fleetlab/play.py
+++ b/fleetlab/play.py
@@ -6,6 +6,7 @@
 import contextlib
 import gc
 import resource
+import signal
 import time
 from collections.abc import Callable, Coroutine, Iterator
 from pathlib import Path
@@ -274,9 +275,16 @@
     """Play a scenario; raises PlayError, RecordError, AddressError or OSError where that can't be done."""
 
     async def main() -> Result:
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGINT, signal.SIGTERM):  # also where the lab was started with them ignored
+            loop.add_signal_handler(number, task.cancel)
         made = Play(scenario, seed, out)
         if progress is not None:
             made.progress = progress
-        return await made.run()
+        try:
+            return await made.run()
+        except asyncio.CancelledError as error:
+            raise PlayError("interrupted") from error
 
     return uvloop.run(main())
