--- a/fleetlab/__main__.py
+++ b/fleetlab/__main__.py
@@ -18,6 +18,7 @@
 
 from . import scenario as given
 from .addresses import AddressError
+from .judge import Breach
 from .play import BAD, VOID, PlayError, Result, play
 from .records import RecordError
 from .report import ReportError, compare, write_report
@@ -99,13 +100,9 @@
     try:
         found = given.load(given.find(scenario))
         result = show_progress(found, seed, out, quiet=as_json)
-    except (given.ScenarioError, AddressError) as error:
-        return fail(error)
     except PlayError as error:
         return fail(error, VOID if "record" in str(error) or "lab failed" in str(error) else BAD)
-    except RecordError as error:
-        return fail(error)
-    except OSError as error:
+    except (given.ScenarioError, AddressError, RecordError, OSError) as error:
         return fail(error)
     if as_json:
         click.echo(msgspec.json.encode(result).decode())
@@ -131,8 +128,7 @@
     for line in result.why:
         console.print(f"  {line}", markup=False)
     for one in result.breaches[:MOST_LINES]:
-        whose = " ".join(p for p in (one["request"], ",".join(one["gateways"]), one["backend"]) if p)
-        console.print(f"  {one['at']:8.3f} s {one['rule']}: {one['what']} [{whose}]", markup=False)
+        console.print(f"  {Breach(**one).line()}", markup=False)
     if (more := len(result.breaches) - MOST_LINES) > 0:
         console.print(f"  and {more} more, in the record")
     table = Table("figure", "value")
--- a/fleetlab/judge.py
+++ b/fleetlab/judge.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import math
-from bisect import bisect_right
 from collections import Counter as Counts
 from collections import defaultdict
 from dataclasses import asdict, dataclass, field
@@ -98,9 +97,7 @@
         self.offered: dict[str, Counts[str]] = defaultdict(Counts)  # class: how its first tries ended
         self.latency = HdrHistogram(FIRST_US, LAST_US, DIGITS)
         self.queued_long = 0
-        self.lates: list[float] = []
         self.costs: dict[str, list[tuple[float, float, int]]] = defaultdict(list)
-        self.last: Event = {}
 
     def breach(self, rule: str, at: float, what: str, request: str = "", **whose: Any) -> None:
         self.counts["breach." + rule] += 1
@@ -110,7 +107,6 @@
     def feed(self, event: Event) -> None:
         if handler := getattr(self, "on_" + str(event["e"]), None):
             handler(event)
-        self.last = event
 
     # ---- the fleet ----
 
@@ -343,9 +339,6 @@
 
     # ---- the lab ----
 
-    def on_late(self, event: Event) -> None:
-        self.lates.append(event["worst"])
-
     def on_load(self, event: Event) -> None:
         self.queued_long += event.get("over3", 0)
 
@@ -402,10 +395,3 @@
 
     def told_breaches(self) -> list[dict[str, Any]]:
         return [asdict(one) for one in self.breaches]
-
-
-def steps(times: list[float], width_s: float, until: float) -> list[int]:
-    """How many of the sorted times lie in each step of so many seconds."""
-    edges = [width_s * i for i in range(math.ceil(until / width_s) + 1)]
-    places = [bisect_right(times, edge) for edge in edges]
-    return [b - a for a, b in zip(places, places[1:], strict=False)]
--- a/roadpulley/fleet/facts.py
+++ b/roadpulley/fleet/facts.py
@@ -49,8 +49,7 @@
     """An entry in the table."""
 
     entry: Entry
-    came: float  # seconds on the caller's clock
-    orphaned: float = 0.0  # since when its origin is gone; 0: it lives
+    orphaned: float = 0.0  # since when (seconds on the caller's clock) its origin is gone; 0: it lives
 
 
 class Facts:
@@ -101,7 +100,7 @@
             if held.entry == entry or higher(held.entry, entry) == held.entry:
                 return False
             self._count(held.entry, -1)
-            held.entry, held.came, held.orphaned = entry, now, 0.0
+            held.entry, held.orphaned = entry, 0.0
         else:
             if self.over(wall, entry):
                 return False
@@ -109,7 +108,7 @@
             if own or len(self.table) >= MOST_ENTRIES:
                 self.refused["full"] += 1
                 return False
-            self.table[key] = Held(entry, now)
+            self.table[key] = Held(entry)
         self._count(entry, 1)
         self.changed(entry)
         return True
--- a/roadpulley/fleet/members.py
+++ b/roadpulley/fleet/members.py
@@ -62,7 +62,7 @@
 class Members:
     """Owns what is known of each member. Decides nothing of time but when suspicions end."""
 
-    def __init__(self, me: Rumor, chance: random.Random, now: float) -> None:
+    def __init__(self, me: Rumor, chance: random.Random) -> None:
         self.me, self.chance = me, chance
         self.others: dict[str, Member] = {}
         self.ring: list[str] = []  # whom to probe next, from the end: all once, in an order of chance
@@ -227,8 +227,8 @@
         )
         self.take(said, now)
 
-    def expire(self, now: float) -> list[str]:
-        """Declare those dead whose time to refute is over; gives their names.
+    def expire(self, now: float) -> None:
+        """Declare those dead whose time to refute is over.
 
         Where few share a suspicion, its refutation may just not have come here: one more probe is due.
         """
@@ -246,7 +246,6 @@
             self.take(
                 Rumor(name, known.life, known.incarnation, State.DEAD, known.host, known.port), now
             )
-        return found
 
     def woke(self, now: float) -> None:
         """This process was stopped: what it has not heard meanwhile says nothing of the others."""
--- a/roadpulley/fleet/node.py
+++ b/roadpulley/fleet/node.py
@@ -50,8 +50,6 @@
     """A ping that waits for its answer."""
 
     name: str
-    life: Life
-    began: float
     direct_until: float
     until: float
     helpers: int = 0
@@ -84,7 +82,7 @@
     ) -> None:
         self.seal, self.chance, self.seeds, self.address = seal, chance, seeds, address
         me = Rumor(name, life, 0, State.ALIVE, address[0], address[1])
-        self.members = Members(me, chance, now)
+        self.members = Members(me, chance)
         self.members.changed = self._news_of_member
         self.members.denied = self._tell_many
         self.members.began = lambda life: self.facts.begin(life, self.ticked)
@@ -240,7 +238,7 @@
     def _ping(self, member: Member, now: float) -> None:
         self.seq += 1
         wait = ANSWER_S * self._patience()
-        self.probe = Probe(member.rumor.name, member.rumor.life, now, now + wait, now + 2 * wait)
+        self.probe = Probe(member.rumor.name, now + wait, now + 2 * wait)
         # One that is suspected hears so first, to refute it at once (Lifeguard's buddy).
         first = member.rumor if member.state is State.SUSPECT else None
         self._send_ping(member.address, self.seq, member.rumor.name, first)
--- a/tests/test_fleet_line.py
+++ b/tests/test_fleet_line.py
@@ -191,7 +191,7 @@
     some: list[Rumor], lot: random.Random
 ) -> None:
     def known(given: list[Rumor]) -> dict[str, Any]:
-        members = Members(rumor("g0", 1, 0, State.ALIVE), random.Random(1), 0.0)
+        members = Members(rumor("g0", 1, 0, State.ALIVE), random.Random(1))
         for one in given:
             members.take(one, 0.0)
         return {n: (m.rumor.life, m.rumor.incarnation, m.rumor.state) for n, m in members.others.items()}
