Clients: a connection ends by a shutdown, and time counts from when a request came

Need: a close over bytes that were never read resets the connection and takes along answers that its client has not read yet; a request read behind others told its backend more time than its client had left. At fault: transport.close() after the last answer (pump, evict), reading paused once a connection was to be closed, an idle connection chosen to give way while a request lay unread in the system, and expires counted from the parsing of a command (driver.read). Change: after its last answer a connection is shut for writing, what comes is read and let go (256 KB at most), and it is closed with the peer's own close or after 0.5 s; at most 16 wait so while places are wanted, and one that gives way for its descriptor is closed at once as before. One with unread bytes is not chosen. A command carries the time at which its bytes came. Ruled out: TCP_NODELAY, which uvloop sets on all four kinds of sockets (now held by a test).

--- a/fleetlab/alone.py
+++ b/fleetlab/alone.py
@@ -74,7 +74,10 @@
     def resume_reading(self) -> None: ...
 
     def is_closing(self) -> bool:
-        return bool(self.ended)
+        return self.ended in ("abort", "close")
+
+    def write_eof(self) -> None:
+        self.ended = self.ended or "shut"
 
     def abort(self) -> None:
         self.ended = "abort"
--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -16,9 +16,11 @@
 from mintford.shares import FairShares
 
 from .accept import Acceptor
+from .clock import now_ms
 from .descriptors import Budget, Part
 from .figures import Evicted, Figures
 from .resp import NOT_YET, Opened, ProtocolError, Reader, Value
+from .socket_state import has_unread_bytes, peer_has_closed
 from .streams import LONGEST, WHOLE, Body, Passing, Room
 
 log = logging.getLogger(__name__)
@@ -34,6 +36,8 @@
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client may leave unread, likewise
 LARGEST = 128 * 1024  # bytes of a command, less a value that comes in pieces
 MOST_PASSING = 16 * 1024  # bytes of a long value that wait in the transport; it adds what was written last
+# Closed without a wait: descriptors are wanted, or the last answer was read long ago.
+CLOSED_AT_ONCE = {Evicted.YOUNG, Evicted.IDLE, Evicted.UNUSED}
 READ_BYTES = 64 * 1024  # read at a time, into one buffer for all connections
 REQUEST_HEAD = 4  # arguments before the value
 MOST_ARGUMENTS = 16  # of a command; a request has five, and those of connection set-up few more
@@ -46,6 +50,9 @@
 LONGEST_S = 120.0  # for one that is passed on in pieces, likewise: longer than its request is kept
 UNREAD_S = 15.0  # that a client may read nothing of an answer: nobody waits that long for one
 DRIBBLE_S = 60.0  # that a client may take to read all it has been answered, however steadily
+LINGER_S = 0.5  # after the last answer, for the peer to read it and to close: a reset would take it along
+MOST_LINGERING = 16  # connections at once, where places are wanted
+MOST_DISCARDED = 256 * 1024  # bytes that a peer may send after its last answer
 PARTING_IDLE_S = 0.25  # on a drain, a connection on which nothing comes for this long is closed
 HANDED_IDLE_S = 0.5  # after a hand-over, most connections close with an answer; idle ones from then on
 UNUSED_S = 60.0  # a connection of no use for this long is closed; clients open another when they need one
@@ -65,6 +72,7 @@
     safe: bool  # whether it came as a request that is safe to repeat
     attributes: dict[bytes, bytes]
     wait: float  # how long the client waits, in milliseconds
+    came_at: float  # when its bytes came: it may have waited behind others of its connection since
     stream: Body | None = None  # of a long value, whose bytes follow what is encoded here
 
     def encode(self, wait: int) -> bytes:
@@ -77,8 +85,8 @@
     return b"$%d\r\n%b\r\n" % (len(value), value)
 
 
-def parse_command(args: list[bytes], stream: Body | None = None) -> Command:
-    """Raises ValueError, with the reason, for what is not a request."""
+def parse_command(args: list[bytes], stream: Body | None = None, came_at: float | None = None) -> Command:
+    """Raises ValueError, with the reason, for what is not a request. `came_at`: now, if it is not told."""
     if not 4 <= len(args) <= 5:
         raise ValueError("wrong number of arguments")
     verb, customer, request, listed = args[:4]
@@ -108,7 +116,8 @@
     if not (CUSTOMER.fullmatch(customer) and int(customer, 16) < MOST_CUSTOMERS):
         raise ValueError("malformed customer")
     safe = verb.upper() == SAFE
-    return Command(head, before, after, body, len(args), *names, safe, attributes, wait, stream)
+    came = now_ms() if came_at is None else came_at
+    return Command(head, before, after, body, len(args), *names, safe, attributes, wait, came, stream)
 
 
 class Slot:
@@ -176,6 +185,9 @@
         self.heard_at = self.body_since = 0.0  # bytes of what is coming in last came; a long value began
         self.written = self.taken = 0  # bytes of answers: given to the transport; of these, gone to the peer
         self.behind_since = self.taken_at = 0.0  # answers wait to be read; the peer last took some
+        self.fed_at = now_ms()  # when bytes last came
+        self.shut_at: float | None = None  # its last answer has been written; what still comes is let go
+        self.discarded = 0  # bytes that came after what closes it
 
     # ---- from the event loop ----
 
@@ -189,6 +201,55 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.transport = None
         self.server.closed(self)
+        self._abandon()
+
+    def notice_departure(self) -> bool:
+        """Whether the client has gone; what it asked for ends then, before its close has been read.
+
+        While reading is paused a close would go unnoticed, and else until the event loop's next turn.
+        """
+        if self.transport is None or not self._socket_is(peer_has_closed):
+            return False
+        self.transport.abort()
+        self._abandon()
+        return True
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether something has come that this process has yet to read."""
+        return self._socket_is(has_unread_bytes)
+
+    def _socket_is(self, state: Callable[[int], bool]) -> bool:
+        sock = None if self.transport is None else self.transport.get_extra_info("socket")
+        return sock is not None and sock.fileno() >= 0 and state(sock.fileno())
+
+    def _discard(self, length: int) -> None:
+        """Read on, so that the peer's close is seen and unread bytes don't reset what it is still to read."""
+        self.discarded += length
+        if self.discarded <= MOST_DISCARDED or self.transport is None:
+            return
+        if self.shut_at is not None:
+            self.transport.close()
+        else:
+            self._throttle()
+
+    def shut(self) -> None:
+        """Write what is due, end this side, and close once the peer has read that and closed as well.
+
+        A close over unread bytes resets the connection, which takes along what the peer has not read yet.
+        """
+        self.closing = True
+        if self.transport is None or self.transport.is_closing() or self.shut_at is not None:
+            return
+        if not self.server.may_linger(self):
+            return self.transport.close()
+        self.shut_at = time.monotonic()
+        self.server.shut(self)
+        self._throttle()
+        self.transport.write_eof()
+
+    def _abandon(self) -> None:
+        """Nobody waits for answers here any more."""
         slots, self.slots = self.slots, deque()
         body, self.body = self.body, None
         if body is not None:
@@ -215,7 +276,8 @@
 
     def data_received(self, data: bytes | memoryview) -> None:
         if self.closing:
-            return  # nothing more is answered here, and it must not pile up either
+            return self._discard(len(data))  # nothing more is answered here, and it must not pile up either
+        self.fed_at = now_ms()
         self.reader.feed(data)
         self.unread = True
         self.pump()
@@ -235,7 +297,7 @@
         finally:
             self.pumping = False
         if self.transport is not None and not self.slots and (self.closing or self._parts()):
-            self.transport.close()
+            self.shut()
         elif self.surplus and not self.proven and self.body is None:
             self.server.evict(self, Evicted.CROWDED)
         self._throttle()
@@ -248,6 +310,10 @@
         full = self.body is not None and self.body.full
         return full or self.slow or self.closing or len(self.slots) >= MOST_WAITING
 
+    def _reads(self) -> bool:
+        """Whether it reads on: what comes after the last command is read to be let go."""
+        return self.discarded <= MOST_DISCARDED if self.closing else not self._stuck()
+
     def _take(self) -> None:
         """Take what commands the bytes read so far hold."""
         try:
@@ -332,7 +398,7 @@
     def _throttle(self) -> None:
         if self.transport is None or self.transport.is_closing():
             return
-        if (stop := self._stuck()) != self.stopped:
+        if (stop := not self._reads()) != self.stopped:
             self.stopped = stop
             (self.transport.pause_reading if stop else self.transport.resume_reading)()
 
@@ -379,6 +445,9 @@
         if self._unread(now):
             log.warning("client left its answers unread for %.0f s", now - self.behind_since)
             self.server.evict(self, Evicted.UNREAD)
+        elif self.shut_at is not None:
+            if now - self.shut_at > LINGER_S and not self.transport.get_write_buffer_size():
+                self.transport.close()
         elif self.closing or self.stopped:
             return  # its answers are due first, and it is read no further until then
         elif self._late(now):
@@ -387,7 +456,7 @@
             self.pump()
         elif not self.slots and not self.transport.get_write_buffer_size():
             parts = self._parts() and now > self.server.idle_from
-            if now - self.used_at > (PARTING_IDLE_S if parts else UNUSED_S):
+            if now - self.used_at > (PARTING_IDLE_S if parts else UNUSED_S) and not self.has_unread_bytes:
                 self.server.evict(self, Evicted.PARTING if parts else Evicted.UNUSED)
 
     def _unread(self, now: float) -> bool:
@@ -420,7 +489,7 @@
         owed, self.owes_since = self.owes_since, None
         if verb in REQUESTS:
             try:
-                command = parse_command(args, body)
+                command = parse_command(args, body, self.fed_at)
                 slot.request = command.id
                 if self.proven or self.server.prove(self, command):
                     self.server.handler.on_command(command, slot)
@@ -456,6 +525,12 @@
         return not open_here and not self.transport.get_write_buffer_size()
 
 
+    @property
+    def is_spare(self) -> bool:
+        """It may be closed now: also nothing has come that this process has yet to read."""
+        return self.idle and not self.has_unread_bytes
+
+
 class ClientServer:
     """Listens, and owns the connections of clients: their states, their bounds and who gives way.
 
@@ -471,6 +546,7 @@
         self.handler, self.budget, self.room, self.figures = handler, budget, room, figures
         self.buffer = memoryview(bytearray(READ_BYTES))  # what is read is taken before the next read
         self.connections: set[ClientConnection] = set()
+        self.lingering: set[ClientConnection] = set()  # of these, shut on this side
         self.young: dict[ClientConnection, None] = {}  # the oldest first
         self.proven: dict[str, dict[ClientConnection, None]] = {}  # by peer, the longest unused first
         self.shares = FairShares(0)  # of proven connections, among peers
@@ -586,7 +662,7 @@
         return made
 
     def evict_young(self, newcomer: ClientConnection | None = None) -> bool:
-        spare = next((c for c in self.young if c.idle and c is not newcomer), None)
+        spare = next((c for c in self.young if c.is_spare and c is not newcomer), None)
         if spare is not None:
             self.evict(spare, Evicted.YOUNG)
         return spare is not None
@@ -599,7 +675,7 @@
         for held in sorted(self.proven.values(), key=len, reverse=True):
             if len(held) < least:
                 break
-            if (spare := next((c for c in held if c.idle), None)) is not None:
+            if (spare := next((c for c in held if c.is_spare), None)) is not None:
                 self.evict(spare, Evicted.IDLE)
                 return True
         return False
@@ -607,9 +683,23 @@
     def evict(self, connection: ClientConnection, reason: Evicted) -> None:
         self.figures.evicted[reason] += 1
         self.forget(connection)
-        if connection.transport is not None:
+        if reason in CLOSED_AT_ONCE or reason is Evicted.UNREAD:
             connection.closing = True
-            (connection.transport.abort if reason is Evicted.UNREAD else connection.transport.close)()
+            if connection.transport is not None:
+                (connection.transport.abort if reason is Evicted.UNREAD else connection.transport.close)()
+        else:
+            connection.shut()
+
+    def may_linger(self, connection: ClientConnection) -> bool:
+        """Whether it may keep its descriptor for a moment longer: there is something that it may yet read."""
+        if time.monotonic() - connection.used_at > LINGER_S:
+            return False
+        return self.parting or len(self.lingering) < MOST_LINGERING
+
+    def shut(self, connection: ClientConnection) -> None:
+        """Its place is free, though its descriptor is not yet."""
+        self.forget(connection)
+        self.lingering.add(connection)
 
     def used(self, connection: ClientConnection) -> None:
         if (held := self.proven.get(connection.peer)) and held.pop(connection, True) is None:
@@ -627,6 +717,7 @@
         self.forget(connection)
         self.budget.free(Part.CLIENTS)
         self.connections.discard(connection)
+        self.lingering.discard(connection)
         if not self.connections:
             self.empty.set()
 
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -51,7 +51,7 @@
         self.made = 0  # attempts so far
         self.live: dict[int, Attempt] = {}  # attempts out, by number
         self.timer: Timer | None = None  # of its end
-        self.came_at = now_ms()  # its head
+        self.came_at = command.came_at  # its head
         self.begun: int | None = None  # the attempt whose long answer is being passed on
         self.value: Passing | None = None
 
@@ -225,7 +225,7 @@
             request_class=given[b"c"].decode(),
             plan=given.get(b"t", b"").decode(),
             customer=command.customer,
-            expires=now_ms()
+            expires=command.came_at
             + (LONGEST_BODY_MS if command.stream is not None else min(command.wait, LONGEST_WAIT_MS)),
             units=float(given.get(b"units", b"0")),
             spread=int(given.get(b"spread", b"1")),
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
+import socket
 
 import hiredis
 import pytest
+from test_driver import Scene
 
 from fleetlab.alone import Wire, World, in_loop, request, running
 from fleetlab.backends import Backend
-from fleetlab.sockets import Peer, Reply, encode, until
+from fleetlab.sockets import LOCAL, Peer, Reply, encode, until
 from roadpulley import clients
 from roadpulley.descriptors import Budget
 from roadpulley.figures import Figures
@@ -425,3 +429,147 @@
         assert connection.owes_since is None
 
     in_loop(scenario)
+
+
+# ---- the end of a connection, and clients that have gone ----
+
+
+def test_answers_survive_a_close_over_bytes_that_were_never_read() -> None:
+    """A close over unread bytes resets the connection; what the peer has not read yet is lost with it."""
+
+    async def scenario() -> None:
+        async with running(World(Backend())) as world:
+            with socket.create_connection((LOCAL, world.port)) as sock:
+                sock.setblocking(False)
+                loop = asyncio.get_running_loop()
+                asked = encode(*request(b"one")) + encode(*request(b"two"))
+                await loop.sock_sendall(sock, asked + b"!not a command\r\n")
+                await until(lambda: len(world.backends[0].got) == 2)
+                with contextlib.suppress(ConnectionError):  # goes on sending, and reads only then
+                    for _ in range(20):
+                        await loop.sock_sendall(sock, b"x" * 1_000)
+                        await asyncio.sleep(0.005)
+                got = b""
+                while data := await loop.sock_recv(sock, 65_536):
+                    got += data
+                assert got == encoded(b"value") * 2 + b"-ERR protocol error\r\n"
+
+    in_loop(scenario)
+
+
+def encoded(value: bytes) -> bytes:
+    return b"$%d\r\n%b\r\n" % (len(value), value)
+
+
+def test_a_peer_that_sends_without_end_after_its_last_answer_is_cut_off() -> None:
+    async def scenario() -> None:
+        async with running(World(Backend())) as world:
+            peer = await world.client()
+            peer.send(b"QUIT")
+            assert await peer.receive() == b"OK"
+            with pytest.raises(ConnectionError):
+                while True:
+                    peer.writer.write(b"x" * 65_536)
+                    await peer.writer.drain()
+                    await asyncio.sleep(0)
+
+    in_loop(scenario)
+
+
+def test_a_peer_that_never_closes_after_the_end_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "LINGER_S", 0.05)
+    monkeypatch.setattr(clients, "SWEEP_S", 0.02)
+
+    async def scenario() -> None:
+        async with running(World(Backend())) as world:
+            with socket.create_connection((LOCAL, world.port)) as sock:
+                sock.setblocking(False)
+                loop = asyncio.get_running_loop()
+                await loop.sock_sendall(sock, encode(b"QUIT"))
+                assert await loop.sock_recv(sock, 100) == b"+OK\r\n"
+                assert await loop.sock_recv(sock, 100) == b""
+                await until(lambda: is_reset(sock))
+
+    in_loop(scenario)
+
+
+def is_reset(sock: socket.socket) -> bool:
+    """Whether the other side has closed as well: what is sent to it then is answered with a reset."""
+    try:
+        sock.send(b"x")
+    except ConnectionError:
+        return True
+    return False
+
+
+def test_a_request_on_a_connection_that_has_been_shut_is_never_sent_on() -> None:
+    async def scenario() -> None:
+        async with running(World(Backend())) as world:
+            peer = await world.client()
+            peer.send(b"QUIT")
+            assert await peer.receive() == b"OK" and await peer.receive() is None
+            peer.send(*request(b"late"))
+            other = await world.client()
+            assert await world.ask(other, id=b"other") == b"value"
+            assert [command[2] for command in world.backends[0].got] == [b"other"]
+
+    in_loop(scenario)
+
+
+def test_time_spent_behind_other_commands_of_a_connection_is_not_promised_to_a_backend(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What a client has left counts from when its request came, not from when it was taken."""
+    now = [1_000.0]
+    monkeypatch.setattr(clients, "now_ms", lambda: now[0])
+    taken: list[clients.Command] = []
+    slots: list[clients.Slot] = []
+
+    class Handler:
+        def check(self, command: clients.Command) -> None:
+            pass
+
+        def on_command(self, command: clients.Command, slot: clients.Slot) -> None:
+            taken.append(command)
+            slots.append(slot)
+
+    server = clients.ClientServer(Handler(), Budget(256), Room(2**26), Figures([]))  # type: ignore[arg-type]
+    connection = clients.ClientConnection(server)
+    connection.connection_made(Wire())
+    commands = [encode(*request(b"r%d" % n)) for n in range(clients.MOST_WAITING + 1)]
+    connection.data_received(b"".join(commands))
+    assert len(taken) == clients.MOST_WAITING
+    now[0] += 300.0
+    slots[0].answer(b"+OK\r\n")
+    assert [command.came_at for command in taken] == [1_000.0] * len(commands)
+
+
+def test_a_request_expires_by_when_it_came() -> None:
+    async def scenario() -> None:
+        scene = Scene()
+        command = clients.parse_command(list(request(b"r1", wait=3_000)), None, 5_000.0)
+        assert scene.driver.read(command).expires == 8_000.0
+
+    in_loop(scenario)
+
+
+def test_every_socket_sends_small_writes_at_once() -> None:
+    """Held back by the system, an answer would go down with the connection it waits on."""
+
+    async def scenario() -> None:
+        async with running(World(Backend())) as world:
+            peer = await world.client()
+            assert await world.ask(peer, plan=b"basic") == b"value"
+            await until(lambda: world.counter.open)  # that customer's lease was refreshed
+            ports = {world.port, world.backends[0].port, world.counter.port, world.discovery.port}
+            seen: dict[int, bool] = {}
+            for name in os.listdir("/proc/self/fd"):
+                with contextlib.suppress(OSError), socket.socket(fileno=os.dup(int(name))) as sock:
+                    if sock.family != socket.AF_INET:
+                        continue
+                    at_once = bool(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+                    for port in ports & {sock.getsockname()[1], sock.getpeername()[1]}:
+                        seen[port] = at_once and seen.get(port, True)
+            assert seen == dict.fromkeys(ports, True)
+
+    in_loop(scenario)
