What comes between the decision to send and the bytes is judged at the bytes

At fault: Connection.write asked only for the request's end and the drain, the drain with its whole grace; a client's close is not read while its connection is paused; a handshake went on after its attempt was given up, and a connection was reused in the moment of its answer, when a second one may follow. Change: at the first byte, and when a half-written request goes on, the driver is asked for a hindrance: the client's close as the system knows it (poll for a hang-up, which unread bytes don't hide), or the end of the window, counted from the last byte of the first attempt that may have run. A drain ends at once what waits for a connection; the module hears of it first. A handshake that nobody waits for is closed. After an answer a connection rests for half of the answer's time, 30 ms at most, before it takes another request. Ruled out for the rest: always 30 ms (backends that answer in under a millisecond were then given up). Tests: one for each, over sockets, and the window on a hand-set clock.

--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -31,7 +31,9 @@
 
 IDLE_SHARE = 0.6  # of the keep-alive time: retired before the backend may close it under a request
 SWEEP_MS = 1_000.0
-CUTOFF_MARGIN_MS = 50.0  # before the end of the grace for new work to a draining backend
+# After an answer, what comes unasked behind it must not pass for the next request's: for a part of the time
+# that the answer took, and at most so long.
+SETTLE_SHARE, SETTLE_MS = 0.5, 30.0
 READ_BYTES = 64 * 1024
 STALL_MS = 10_000.0  # without a byte of a long value while this side would take or give more: it has broken
 MOST_ITEMS, LARGEST_REPLY = 16, 128 * 1024  # of an answer: three; bytes less a value that comes in pieces
@@ -47,6 +49,7 @@
     ended: Callable[[Attempt, Outcome, bytes], None]
     written: Callable[[Attempt], None]  # the last byte has left
     began: Callable[[Attempt, int], Passing | None]  # a long answer has begun; None: nobody needs it
+    hindrance: Callable[[float], Outcome | None]  # why it must not begin at that time, if so
     body: Body | None = None  # a long value that follows what `encode` gives
     connection: Connection | None = None
     host: Host | None = None  # where it waits for a connection
@@ -124,29 +127,44 @@
         if refused and (attempt := next(iter(self.host.waiting), None)) is not None:
             attempt.end(Outcome.CONNECT)
 
-    def start(self, attempt: Attempt, idle: float) -> None:
+    def start(self, attempt: Attempt, idle: float) -> bool:
+        """Write an attempt; false if it must not begin any more, has ended, and left this connection free."""
         attempt.leave()
-        self.attempt, attempt.connection, self.idle_for = attempt, self, idle
-        self.write()
-
-    def write(self) -> None:
-        # The wait for a connection may have outlasted the request or the time in which this backend, told
-        # to drain meanwhile, may be sent anything: both are judged again at the first byte.
-        attempt = self.attempt
-        assert attempt is not None
         now = now_ms()
-        if now >= attempt.expires or not self.host.takes_new(now):
-            self.attempt = None
-            self.pool.release(self)
-            return attempt.end(Outcome.IGNORED if now >= attempt.expires else Outcome.CONNECT)
+        hindrance = self._hindrance(attempt, now)
+        if hindrance is not None:
+            attempt.end(hindrance)
+            return False
+        self.attempt, attempt.connection, self.idle_for = attempt, self, idle
         self.sent_at = self.moved_at = now
         self.sent = self.ending = False
         self.unsent = memoryview(attempt.encode(max(1, int(attempt.expires - now))))
         if attempt.body is not None:
             attempt.body.begin(self._flush)
-        self._flush()
+        self._send()
+        return True
+
+    def _hindrance(self, attempt: Attempt, now: float) -> Outcome | None:
+        """What has come between the decision to send and the first byte.
+
+        The wait for a connection may have outlasted the request, its client or the time in which it may be
+        repeated, and its backend may have been told to drain.
+        """
+        if now >= attempt.expires:
+            return Outcome.IGNORED
+        if not self.host.takes_new:
+            return Outcome.CONNECT
+        return attempt.hindrance(now)
 
     def _flush(self) -> None:
+        """Go on with a request of which some has left: it counts as begun with its last byte."""
+        attempt = self.attempt
+        if attempt is not None and not self.sent and not self.flushing:
+            if attempt.hindrance(now_ms()) is not None:
+                return self.end(Outcome.CONNECT)  # so that the last byte never leaves
+        self._send()
+
+    def _send(self) -> None:
         if self.flushing or self.closed:
             return  # what a long value's bytes bring about may lead here again
         self.flushing = True
@@ -221,7 +239,7 @@
         if attempt is None or not self.sent or more:
             self.close()  # an answer to nothing: what follows would be taken for another request's
         else:
-            self.pool.release(self)
+            self.pool.settle(self)
         if attempt is not None:
             attempt.cost = read_cost(reply)
             attempt.end(*read_reply(reply))
@@ -294,6 +312,7 @@
         self.pool.loop.remove_writer(self.fd)
         self.socket.close()
         self.host.opening.discard(self)
+        self.host.settling.discard(self)
         self.pool.forget(self)
 
     def alive(self) -> bool:
@@ -330,17 +349,19 @@
 
 
 class Host:
-    """A backend's address, its idle connections and when it was told to drain."""
+    """A backend's address, its connections that have no attempt on them, and whether it takes new work."""
 
     def __init__(self, address: Address, zone: str, held: bool) -> None:
         self.address, self.zone, self.held = address, zone, held  # held: taken out by operators
         self.idle: list[Connection] = []  # the last used at the end
         self.opening: set[Connection] = set()  # handshakes under way
+        self.settling: set[Connection] = set()  # an answer has just come on them
         self.waiting: dict[Attempt, None] = {}  # for a connection, the longest first
-        self.cutoff = float("inf")
+        self.listed = True  # and not told to drain
 
-    def takes_new(self, now: float) -> bool:
-        return now < self.cutoff and not self.held
+    @property
+    def takes_new(self) -> bool:
+        return self.listed and not self.held
 
 
 class Backends:
@@ -357,13 +378,12 @@
         timers: Timers,
         connect_timeout: float,
         keepalive: float,
-        drain_grace: float,
         budget: Budget,
         figures: Figures,
         room: Room,
     ) -> None:
         self.loop, self.timers, self.connect_timeout = loop, timers, connect_timeout
-        self.drain_grace, self.budget, self.figures, self.room = drain_grace, budget, figures, room
+        self.budget, self.figures, self.room = budget, figures, room
         self.wanting: dict[Host, None] = {}  # where attempts wait and the pool is full, the longest first
         self.serving: asyncio.Handle | None = None  # these are looked after at the end of this turn
         budget.relief.append(self.close_oldest)
@@ -386,13 +406,15 @@
         if host.address != address:
             self.close_idle(host)
             host.address = address
-        host.cutoff, host.zone = float("inf"), zone
+        host.listed, host.zone = True, zone
         self.hold_host(backend, host)
 
     def retire(self, backend: int) -> None:
+        """It drains or is gone: nothing new goes there, also what waits for a connection to it already."""
         if host := self.hosts.get(backend):
-            host.cutoff = min(host.cutoff, now_ms() + self.drain_grace - CUTOFF_MARGIN_MS)
+            host.listed = False
             self.close_idle(host)
+            self.end_waiting(host)
 
     def hold(self, backend: int, out: bool) -> None:
         """Take a backend out or put it back, whatever the list says."""
@@ -410,18 +432,26 @@
         host.held = backend in self.held or host.zone in self.held_zones
         if host.held:
             self.close_idle(host)
+            self.end_waiting(host)
+
+    def end_waiting(self, host: Host) -> None:
+        for attempt in list(host.waiting):
+            attempt.end(Outcome.CONNECT)
+        self.close_unwanted(host)
 
     # ---- attempts ----
 
     def send(self, attempt: Attempt) -> None:
         host = self.hosts.get(attempt.backend)
-        if host is None or not host.takes_new(now_ms()):
+        if host is None or not host.takes_new:
             return attempt.end(Outcome.CONNECT)
         while host.idle:
             connection, now = host.idle.pop(), now_ms()
             idle = now - connection.idle_since
             if self.idle_times.allows(now, idle) and connection.alive():
-                return connection.start(attempt, idle)
+                if not connection.start(attempt, idle):
+                    self.release(connection)
+                return
             connection.close()
         attempt.host, host.waiting[attempt] = host, None
         until = min(now_ms() + self.connect_timeout, attempt.expires)
@@ -432,11 +462,10 @@
     def open_for(self, host: Host) -> None:
         """Begin as many handshakes as attempts wait for, so far as that goes."""
         for attempt in [a for a in host.waiting if not a.connecting]:
-            if len(host.opening) >= min(len(host.waiting), self.budget.shares.connects):
+            wanted = len(host.waiting) - len(host.settling)  # those serve an attempt each in a moment
+            if len(host.opening) >= min(wanted, self.budget.shares.connects):
                 return
-            if not host.takes_new(now_ms()):
-                attempt.end(Outcome.CONNECT)
-            elif not self.budget.may(Part.BACKENDS) and not self.close_oldest(1):
+            if not self.budget.may(Part.BACKENDS) and not self.close_oldest(1):
                 self.wanting[host] = None
                 return
             else:
@@ -480,25 +509,49 @@
         connection = attempt.connection
         if connection is not None:
             unsent = outcome is Outcome.TIMED_OUT and connection.broken() is Outcome.CONNECT
-            connection.end(Outcome.CONNECT if unsent else outcome)
-        elif attempt.host is not None and outcome is Outcome.TIMED_OUT:
-            attempt.end(self.unserved(attempt))
-        else:
-            attempt.end(outcome)
+            return connection.end(Outcome.CONNECT if unsent else outcome)
+        host = attempt.host
+        waits = host is not None and outcome is Outcome.TIMED_OUT
+        attempt.end(self.unserved(attempt) if waits else outcome)
+        if host is not None:
+            self.close_unwanted(host)
+
+    def close_unwanted(self, host: Host) -> None:
+        """Close the handshakes that nobody waits for, as their attempts were given up meanwhile."""
+        for connection in list(host.opening)[len(host.waiting) :]:
+            connection.close()
 
     # ---- pools ----
 
     def release(self, connection: Connection) -> None:
         """A connection is free: for who waits for its backend, for who waits for any, or to stand idle."""
         host = connection.host
-        if connection.address != host.address or not host.takes_new(now_ms()):
+        while host.takes_new and not connection.closed and connection.address == host.address:
+            if (attempt := next(iter(host.waiting), None)) is None:
+                break
+            if connection.start(attempt, 0.0):
+                return
+        if connection.address != host.address or not host.takes_new:
             return connection.close()
-        if (attempt := next(iter(host.waiting), None)) is not None:
-            return connection.start(attempt, 0.0)
-        if host.cutoff < float("inf") or (self.wanting and not self.budget.may(Part.BACKENDS)):
+        if self.wanting and not self.budget.may(Part.BACKENDS):
             return connection.close()
-        connection.idle_since = now_ms()
-        host.idle.append(connection)
+        if not connection.closed:
+            connection.idle_since = now_ms()
+            host.idle.append(connection)
+
+    def settle(self, connection: Connection) -> None:
+        """An answer has come: its connection is free once nothing has followed it for a moment."""
+        connection.host.settling.add(connection)
+        wait = min(SETTLE_MS, SETTLE_SHARE * (now_ms() - connection.sent_at))
+        self.loop.call_later(wait / 1000, self.settled, connection)
+
+    def settled(self, connection: Connection) -> None:
+        if connection in connection.host.settling:
+            connection.host.settling.discard(connection)
+            if connection.alive():
+                self.release(connection)
+            else:
+                connection.close()
 
     def forget(self, connection: Connection) -> None:
         if connection in self.connections:
@@ -541,7 +594,7 @@
                 if self.idle_times.allows(now, now - connection.idle_since):
                     break
                 connection.close()
-            if now >= host.cutoff:
+            if not host.listed:
                 del self.hosts[backend]
         for connection in list(self.connections):
             if connection.stalled(now):
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -13,6 +13,7 @@
 
 from mintford import Gateway, shown
 from mintford import interface as api
+from mintford.rules import NEVER_RAN
 from mintford.shares import PRESSED, FairShares
 
 from .backends import Attempt, Backends
@@ -32,6 +33,7 @@
 REPORT_MS = 10_000.0  # one line for all requests of that time
 MOST_TOLD = 1_024  # backends that are remembered by their numbers, and zones by their names
 UNFIT, LONGEST_ZONE = re.compile(r"[^A-Za-z0-9_-]"), 64  # in a zone's name, for a figure's; characters
+REPEAT_MARGIN_MS = 50.0  # before a key's window ends: a repeat is on its way that long at most
 LONGEST_WAIT_MS = 60_000.0  # that a client can ask for; the longest deadlines are well under it
 LONGEST_BODY_MS = 120_000.0  # for a long value to come in; a client that stalls is left long before
 
@@ -44,17 +46,37 @@
 class Request:
     """One request that is owed a final answer."""
 
-    __slots__ = ("begun", "came_at", "command", "expires", "kind", "live", "made", "slot", "timer", "value")
-
-    def __init__(self, command: Command, slot: Slot, kind: str, expires: float) -> None:
+    __slots__ = (
+        "begun",
+        "came_at",
+        "command",
+        "expires",
+        "kind",
+        "live",
+        "made",
+        "slot",
+        "timer",
+        "value",
+        "written",
+    )
+
+    def __init__(self, command: Command, slot: Slot, kind: api.RequestClass, expires: float) -> None:
         self.command, self.slot, self.kind, self.expires = command, slot, kind, expires
         self.made = 0  # attempts so far
+        self.written: dict[int, float] = {}  # attempts that may have run: when their last byte left
         self.live: dict[int, Attempt] = {}  # attempts out, by number
         self.timer: Timer | None = None  # of its end
         self.came_at = command.came_at  # its head
         self.begun: int | None = None  # the attempt whose long answer is being passed on
         self.value: Passing | None = None
 
+    @property
+    def repeat_until(self) -> float:
+        """When a further attempt may begin at the latest: once a key's window is over, it would run again."""
+        if not self.written or self.kind.effect is not api.Effect.KEYED:
+            return math.inf
+        return min(self.written.values()) + self.kind.repeat_window - REPEAT_MARGIN_MS
+
 
 class Driver:
     """Owns the module, and is the only one to call it.
@@ -150,14 +172,16 @@
             self.finish(event.request, FAILED, Ended.ABORTED)
 
     def members(self, scope: api.ListScope, members: tuple[Member, ...]) -> None:
+        """The list has changed. The module hears first: attempts that end now are sent elsewhere by it."""
+        self.give(api.BackendsChanged(scope, tuple(m.entry for m in members)))
+        # What a retired backend's attempts are sent to instead may be listed for the first time.
+        for member in sorted(members, key=lambda one: one.entry.state is not api.BackendState.READY):
+            entry = member.entry
+            self.backends.update(entry.backend, member.address, entry.state, entry.zone)
         if scope is not api.ListScope.CHANGES:
             listed = {m.entry.backend for m in members}
             for backend in set(self.backends.hosts) - listed:
                 self.backends.retire(backend)
-        for member in members:
-            entry = member.entry
-            self.backends.update(entry.backend, member.address, entry.state, entry.zone)
-        self.give(api.BackendsChanged(scope, tuple(m.entry for m in members)))
         for member in members:
             self.remember(self.told, member.entry.backend)
             self.remember(self.told_zones, member.entry.zone)
@@ -196,7 +220,8 @@
             return self.crowd(event.request_class, slot)
         self.seen["requests taken"] += 1
         self.shares.take(event.customer)
-        owner = self.requests[command.id] = Request(command, slot, event.request_class, event.expires)
+        kind = self.kinds[event.request_class]
+        owner = self.requests[command.id] = Request(command, slot, kind, event.expires)
         owner.timer = self.timers.at(owner.expires, partial(self.on_expired, owner))
         self.give(event)
 
@@ -277,7 +302,7 @@
         owner = self.leave(request)
         if owner is None:
             return
-        self.figures.ended(owner.kind, Ended.ABORTED)
+        self.figures.ended(owner.kind.name, Ended.ABORTED)
         if owner.value is not None:
             owner.value.drop()
         self.leave_body(owner)
@@ -298,6 +323,8 @@
         request = owner.command.id
         self.seen["attempts " + outcome.value] += 1
         del self.attempts[request, number], owner.live[number]
+        if outcome in NEVER_RAN:
+            owner.written.pop(number, None)
         if owner.begun == number and owner.value is not None and outcome is api.Outcome.OK:
             owner.value.end()  # the request ends once its client has been given the last byte
         elif outcome is api.Outcome.OK and owner.begun is None:
@@ -313,7 +340,16 @@
         cost = attempt.cost if outcome is api.Outcome.OK else 0.0
         self.give(api.AttemptEnded(request, number, attempt.backend, outcome, lag, finished, cost, spent))
 
+    def hindrance(self, owner: Request, now: float) -> api.Outcome | None:
+        """Why an attempt that was decided on must not begin now, after its wait for a connection."""
+        if now >= owner.repeat_until:  # what has run may by then run again
+            return api.Outcome.IGNORED
+        if owner.slot.connection.notice_departure():
+            return api.Outcome.CANCELLED
+        return None
+
     def on_written(self, owner: Request, number: int, attempt: Attempt) -> None:
+        owner.written[number] = now_ms()
         if owner.command.stream is not None:
             self.give(api.AttemptWritten(owner.command.id, number))
 
@@ -332,7 +368,7 @@
 
     def on_passed(self, owner: Request) -> None:
         if self.leave(owner.command.id) is not None:
-            self.figures.ended(owner.kind, Ended.SUCCEEDED)
+            self.figures.ended(owner.kind.name, Ended.SUCCEEDED)
         if owner.value is not None:
             owner.value.drop()
         self.leave_body(owner)
@@ -386,7 +422,9 @@
         number, owner.made = owner.made, owner.made + 1
         ended = partial(self.on_ended, owner, number, now)
         written, began = partial(self.on_written, owner, number), partial(self.on_began, owner, number)
-        attempt = Attempt(backend, owner.command.encode, owner.expires, ended, written, began, body)
+        hindrance = partial(self.hindrance, owner)
+        encode, expires = owner.command.encode, owner.expires
+        attempt = Attempt(backend, encode, expires, ended, written, began, hindrance, body)
         self.attempts[request, number] = owner.live[number] = attempt
         if 0 < timeout < owner.expires - now:
             give_up = partial(self.backends.give_up, attempt, api.Outcome.TIMED_OUT)
@@ -400,7 +438,7 @@
     def finish(self, request: str, reply: bytes, ended: Ended) -> None:
         """Give the one final answer; a second one is not sent."""
         if owner := self.leave(request):
-            self.figures.ended(owner.kind, ended)
+            self.figures.ended(owner.kind.name, ended)
             if owner.value is not None:  # begun, and not to be finished
                 owner.slot.cut(reply)
                 owner.value.drop()
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -78,7 +78,6 @@
             self.timers,
             config.connect_timeout,
             config.keepalive,
-            config.settings.rules.drain_grace,
             self.budget,
             self.figures,
             self.room,
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -14,7 +14,7 @@
 from fleetlab.sockets import LOCAL, Peer, Reply, Server, encode, until
 from mintford.interface import BackendState, Outcome
 from roadpulley import backends as module
-from roadpulley.backends import Attempt, Backends
+from roadpulley.backends import Attempt, Backends, Connection
 from roadpulley.clock import Timers, now_ms
 from roadpulley.descriptors import Budget
 from roadpulley.figures import Figures
@@ -30,7 +30,6 @@
     values: dict[str, Any] = dict(
         connect_timeout=250,
         keepalive=15_000,
-        drain_grace=1_000,
         budget=Budget(1024),
         figures=Figures([]),
         room=Room(2**26),
@@ -61,13 +60,19 @@
         self.endings: list[tuple[Outcome, bytes]] = []
         self.over = asyncio.Event()
         expires = now_ms() + wait
-        self.attempt = Attempt(backend, self.encode, expires, self.ended, lambda _: None, lambda *_: None)
+        self.hindered: Outcome | None = None  # why it must not begin
+        self.written = False  # its last byte has left
+        calls = self.encode, expires, self.ended, self.on_written, lambda *_: None, lambda _: self.hindered
+        self.attempt = Attempt(backend, *calls)
         self.body, self.id = body, id
         pool.send(self.attempt)
 
     def encode(self, wait: int) -> bytes:
         return encode(*request(self.id, wait=wait, body=self.body))
 
+    def on_written(self, attempt: Attempt) -> None:
+        self.written = True
+
     def ended(self, attempt: Attempt, outcome: Outcome, value: bytes) -> None:
         self.endings.append((outcome, value))
         self.over.set()
@@ -78,6 +83,13 @@
         return ending
 
 
+async def idle_connection(pool: Backends) -> Connection:
+    """The one idle connection, once its last answer has settled."""
+    await until(lambda: pool.hosts[0].idle)
+    (connection,) = pool.hosts[0].idle
+    return connection
+
+
 @pytest.mark.parametrize(
     ("reply", "outcome"),
     [
@@ -194,7 +206,7 @@
         server = Backend()
         async with pool(server) as made:
             assert (await Try(made).result())[0] is Outcome.OK
-            (connection,) = made.hosts[0].idle
+            connection = await idle_connection(made)
             made.loop.remove_reader(connection.fd)  # as if the event loop had not yet come to it
             server.hang_up()
             await until(lambda: not connection.alive())
@@ -211,7 +223,7 @@
         server = Backend()
         async with pool(server) as made:
             assert (await Try(made).result())[0] is Outcome.OK
-            (connection,) = made.hosts[0].idle
+            connection = await idle_connection(made)
             connection.idle_since -= made.idle_times.limit - 20
             await until(lambda: server.ended)
             assert not made.connections and made.idle_times.limit < 15_000 * 0.8
@@ -246,7 +258,7 @@
 
     async def scenario() -> None:
         server = Backend()
-        async with pool(server, drain_grace=0) as made:
+        async with pool(server) as made:
             tried = Try(made)  # the connection is not up yet
             made.update(0, (LOCAL, server.port), BackendState.DRAINING)
             assert (await tried.result())[0] is Outcome.CONNECT
@@ -373,10 +385,104 @@
             resets = 0
             for number in range(30):
                 assert (await Try(made).result())[0] is Outcome.OK
-                (connection,) = made.hosts[0].idle
+                connection = await idle_connection(made)
                 connection.idle_since -= 500  # as if it had stood for so long
                 tried = Try(made, id=b"idle%d" % number)
                 resets += (await tried.result())[0] is Outcome.RESET
             assert 3 <= resets < 10
 
     in_loop(scenario)
+
+
+# ---- what may come between the decision to send and the first byte ----
+
+
+def test_an_attempt_that_is_hindered_while_it_waits_is_never_written() -> None:
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server) as made:
+            first, second = Try(made), Try(made)
+            first.hindered = Outcome.CANCELLED
+            assert (await first.result())[0] is Outcome.CANCELLED
+            assert (await second.result())[0] is Outcome.OK
+            assert len(server.got) == 1 and not first.written
+
+    in_loop(scenario)
+
+
+def test_a_request_hindered_before_its_last_byte_never_arrives_whole() -> None:
+    async def scenario() -> None:
+        read = asyncio.Event()
+
+        class Slow(Backend):
+            async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await read.wait()
+                await super().talk(reader, writer)
+
+        server = Slow()
+        async with pool(server) as made:
+            tried = Try(made, body=bytes(32_000_000))
+            await until(lambda: tried.attempt.connection is not None and tried.attempt.connection.writing)
+            tried.hindered = Outcome.IGNORED
+            read.set()
+            assert (await tried.result())[0] is Outcome.CONNECT  # it can't have run
+            await until(lambda: server.ended)
+            assert not server.got and not tried.written
+
+    in_loop(scenario)
+
+
+def test_a_drain_ends_at_once_what_waits_for_a_connection() -> None:
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server) as made:
+            tried = Try(made)
+            made.update(0, (LOCAL, server.port), BackendState.DRAINING)
+            assert tried.endings == [(Outcome.CONNECT, b"")]
+            assert not made.connections  # nor does its handshake go on
+
+    in_loop(scenario)
+
+
+def test_a_handshake_that_nobody_waits_for_is_given_up() -> None:
+    """A connection that comes up late is not written to after its attempt was given up."""
+
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server) as made:
+            gone, stays = Try(made), Try(made)
+            assert made.gauges()["backends.opening"] == 2
+            made.give_up(gone.attempt, Outcome.TIMED_OUT)
+            assert made.gauges()["backends.opening"] == 1
+            assert (await stays.result())[0] is Outcome.OK
+            assert len(made.connections) == 1
+
+    in_loop(scenario)
+
+
+def test_a_second_answer_that_comes_late_is_not_taken_for_the_next_request_s(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(module, "SETTLE_SHARE", 1e9)
+    monkeypatch.setattr(module, "SETTLE_MS", 60_000.0)
+
+    async def scenario() -> None:
+        go_on = asyncio.Event()
+
+        class Twice(Backend):
+            async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                peer = Peer(reader, writer)
+                while (command := await peer.receive()) is not None:
+                    self.got.append(command)
+                    writer.write(b"*3\r\n$3\r\n%b\r\n$-1\r\n$-1\r\n" % command[2])
+                    if command[2] == b"one":
+                        await go_on.wait()
+                        writer.write(b"*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n")
+
+        async with pool(Twice()) as made:
+            assert await Try(made, id=b"one").result() == (Outcome.OK, b"one")
+            second = Try(made, id=b"two")
+            go_on.set()
+            assert await second.result() == (Outcome.OK, b"two")
+
+    in_loop(scenario)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -516,6 +516,33 @@
     in_loop(scenario)
 
 
+def test_what_waits_for_a_client_that_left_while_it_was_not_read_is_never_sent_on() -> None:
+    """Back-pressure hides the close: it lies behind commands that are read only after other answers."""
+
+    async def scenario() -> None:
+        go_on = asyncio.Event()
+
+        async def script(command: list[bytes]) -> Reply:
+            await go_on.wait()
+            return array(command[2])
+
+        backend = Backend(script)
+        async with running(World(backend, sockets=1, connect_ms=60_000.0)) as world:  # eight to backends
+            peer = await world.client()
+            for number in range(clients.MOST_WAITING + 10):
+                peer.send(*request(b"r%d" % number, name=b"wipe", wait=60_000, body=b"x"))
+            await until(lambda: len(backend.got) == 8)
+            peer.writer.close()
+            await peer.writer.wait_closed()
+            await asyncio.sleep(0.02)
+            go_on.set()
+            other = await world.client()
+            assert await world.ask(other, id=b"other", name=b"wipe", body=b"x") == b"other"
+            assert len(backend.got) == 9
+
+    in_loop(scenario)
+
+
 def test_time_spent_behind_other_commands_of_a_connection_is_not_promised_to_a_backend(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -400,6 +400,7 @@
             await asyncio.gather(*(Try(made).result() for _ in range(20)))
             opened = len(made.connections)
             assert opened > 8
+            await until(lambda: len(made.hosts[0].idle) == opened)
             made.budget.beside = 2_000
             made.sweep()
             assert len(made.connections) == 8
@@ -679,7 +680,7 @@
 def test_a_drain_told_while_attempts_wait_sends_them_nowhere() -> None:
     async def scenario() -> None:
         server = Backend()
-        async with pool(server, drain_grace=0) as made:
+        async with pool(server) as made:
             tries = [Try(made) for _ in range(8)]
             made.update(0, (LOCAL, server.port), BackendState.DRAINING)
             assert [(await t.result())[0] for t in tries] == [Outcome.CONNECT] * 8
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 from helpers import settings
@@ -14,7 +16,7 @@
 from roadpulley.clients import ClientConnection, ClientServer, Slot, parse_command
 from roadpulley.clock import Timers
 from roadpulley.descriptors import Budget
-from roadpulley.driver import FAILED, Driver
+from roadpulley.driver import FAILED, REPEAT_MARGIN_MS, Driver, Request
 from roadpulley.figures import Figures
 from roadpulley.streams import Room
 
@@ -44,7 +46,7 @@
         given = settings(max_attempts=2, plans=(api.Plan("free"),))
         self.figures = Figures([kind.name for kind in given.classes])
         room, budget = Room(2**26), Budget(256)
-        self.backends = Backends(loop, timers, 250, 15_000, 1_000, budget, self.figures, room)
+        self.backends = Backends(loop, timers, 250, 15_000, budget, self.figures, room)
         self.driver = Driver(given, 1, timers, self.backends, None, max_open, self.figures, room, print)
         self.module = Module()
         self.driver.gateway = self.module  # type: ignore[assignment]
@@ -154,3 +156,50 @@
         assert line.getMessage() == "last 10 s: refused for quota 1, requests taken 1; now: clients.idle 2"
 
     in_loop(scenario)
+
+
+KEYED_WINDOW_MS = 2_000.0  # of the class in helpers.py
+
+
+def keyed_request(scene: Scene, monkeypatch: pytest.MonkeyPatch) -> tuple[Request, list[float]]:
+    """An open request of a keyed class, and the time that the driver is told."""
+    now = [10_000.0]
+    monkeypatch.setattr("roadpulley.driver.now_ms", lambda: now[0])
+    words = list(request(b"r1", name=b"order"))
+    words[3] += b",k=5c0f6e1a2b3d4c59"
+    slot = Slot(scene.connection)
+    scene.driver.on_command(parse_command(words), slot)
+    return scene.driver.requests["r1"], now
+
+
+def test_a_keyed_repeat_that_waited_out_the_window_does_not_begin(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The module judges the window when it decides; the wait for a connection comes after that."""
+
+    async def scenario() -> None:
+        scene = Scene()
+        owner, now = keyed_request(scene, monkeypatch)
+        attempt: Any = None
+        assert scene.driver.hindrance(owner, now[0] + 10 * KEYED_WINDOW_MS) is None  # the first attempt
+        scene.driver.on_written(owner, 0, attempt)
+        assert scene.driver.hindrance(owner, now[0] + KEYED_WINDOW_MS - REPEAT_MARGIN_MS - 1) is None
+        late = now[0] + KEYED_WINDOW_MS - REPEAT_MARGIN_MS
+        assert scene.driver.hindrance(owner, late) is api.Outcome.IGNORED
+        scene.driver.fail_all()
+
+    in_loop(scenario)
+
+
+def test_an_attempt_that_was_turned_away_begins_no_window(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        scene = Scene()
+        owner, now = keyed_request(scene, monkeypatch)
+        scene.driver.send("r1", 7, 0.0)  # never listed, so it ends at once
+        attempt: Any = None
+        scene.driver.on_written(owner, 1, attempt)
+        scene.driver.attempts["r1", 1] = owner.live[1] = SimpleNamespace(backend=7, cost=0.0)  # type: ignore
+        full = scene.driver.attempts["r1", 1]
+        scene.driver.on_ended(owner, 1, now[0], full, api.Outcome.FULL, b"")
+        assert scene.driver.hindrance(owner, now[0] + 10 * KEYED_WINDOW_MS) is None
+        scene.driver.fail_all()
+
+    in_loop(scenario)
