The end of a process: its last answers by the settings' deadlines, nothing taken goes down with it

Need: SIGKILL comes the longest deadline and 0.7 s after SIGTERM, so with short deadlines long before the 3.4 s after which what was open was failed; then everything open was lost. At fault: LAST_ANSWER_S (service.py), made for deadlines of 3 s and more; after it the process went 0.1 s later, also with answers unwritten, and took requests in that time which nobody answered; what had never left was failed, not refused; the listening socket was closed over connections that waited in its backlog, and the end did not wait for one that was just being opened. Change: the last answers are given 0.3 s before the earliest SIGKILL by the settings' deadlines; from then on what comes is refused at once; what never left is refused; the backlog (64 at most) is taken before the socket is closed; the end waits for connections being opened and, 0.15 s at most, for the last answers. Tests: the bounds at deadlines of 0.9, 2 and 8 s; a request that never left, and one that comes whole after the last answers; SIGTERM, SIGHUP and SIGTERM again over a half-read request with one pipelined behind; 12 connections in the backlog; one being opened.

--- a/roadpulley/accept.py
+++ b/roadpulley/accept.py
@@ -19,6 +19,7 @@
 log = logging.getLogger(__name__)
 
 AT_ONCE = 8  # connections accepted in one turn of the event loop; what they displace is closed by the next
+MOST_REST = 64  # connections taken from the backlog before the socket is closed
 TURN_S = 0.01  # between two turns that accept: a longer one keeps requests already taken waiting
 REST_S = 0.05  # before the next try when the system gives no descriptor
 INHERITED = "LB_INHERITED_FD"
@@ -113,14 +114,22 @@
         if self.resting is not None:
             self.resting.cancel()
 
+    def accept_rest(self) -> None:
+        """Take the connections that wait already: closing the socket would reset them with their requests."""
+        if self.accepts and self.resting is None:
+            self._take(MOST_REST)
+
     def _accept(self) -> None:
         most = self.pace.turn(time.monotonic(), self.rushed)
-        self.rushed = False
+        self.rushed = self._take(most)
+
+    def _take(self, most: int) -> bool:
+        """Accept up to so many connections; whether there were as many."""
         for _ in range(most):
             try:
                 accepted, _ = self.socket.accept()
             except (BlockingIOError, InterruptedError):
-                return
+                return False
             except ConnectionAbortedError:
                 continue  # this peer has gone; others may wait behind it
             except OSError as error:  # most likely no descriptor is left
@@ -129,12 +138,12 @@
                 log.warning("no connection can be accepted: %s", error)
                 self.loop.remove_reader(self.socket.fileno())
                 self.resting = self.loop.call_later(REST_S, self.resume)
-                return
+                return False
             accepted.setblocking(False)
             task: asyncio.Task[object] = self.loop.create_task(self._open(accepted))
             self.opening.add(task)
             task.add_done_callback(self.opening.discard)
-        self.rushed = True
+        return True
 
     async def _open(self, accepted: socket.socket) -> None:
         try:
--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -753,5 +753,15 @@
         self.leave(notice)
 
     def stop_accepting(self) -> None:
+        """Take what has come so far, and nothing after that."""
         if self.acceptor is not None:
+            if not self.handed:
+                self.acceptor.accept_rest()
             self.acceptor.close()
+
+    async def wait_until_empty(self) -> None:
+        """Until no connection is left, nor one that was accepted and is being opened."""
+        while self.holds_clients:
+            if self.acceptor is not None and self.acceptor.opening:
+                await asyncio.wait(list(self.acceptor.opening))
+            await self.empty.wait()
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -28,6 +28,7 @@
 log = logging.getLogger(__name__)
 
 FAILED = b"-ERR failed\r\n"
+REFUSED = b"-BUSY\r\n"
 FULL_MS = 200  # after which a client may come again when all places for requests are taken
 OPEN_PER_CONNECTION = 2  # requests open for each backend connection that there may be: one more waits for it
 REPORT_MS = 10_000.0  # one line for all requests of that time
@@ -105,6 +106,7 @@
         self.kinds = {kind.name: kind for kind in settings.classes}
         self.plans = {plan.name for plan in settings.plans}
         self.requests: dict[str, Request] = {}
+        self.ending = False  # the process is about to end
         self.withheld = 0  # refusals while a whole fleet returns
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also those of requests that have ended
         self.events: deque[api.Event] = deque()
@@ -216,7 +218,7 @@
         event = self.read(command)
         self.shares.most = min(self.max_open, OPEN_PER_CONNECTION * self.backends.budget.most(Part.BACKENDS))
         self.shares.pressed_at = int(self.shares.most * PRESSED)
-        if not self.shares.admits(event.customer):
+        if self.ending or not self.shares.admits(event.customer):
             return self.crowd(event.request_class, slot)
         self.seen["requests taken"] += 1
         self.shares.take(event.customer)
@@ -467,8 +469,12 @@
         if owner.timer is not None and not owner.live:
             owner.timer.cancel()
 
-    def fail_all(self) -> None:
-        """Answer what is still open when the process has to end."""
-        for request in list(self.requests):
-            self.finish(request, FAILED, Ended.ABORTED)
+    def end_all(self) -> None:
+        """Answer what is open as the process has to end, and refuse what still comes."""
+        self.ending = True
+        for request, owner in list(self.requests.items()):
+            if owner.written or any(attempt.connection for attempt in owner.live.values()):
+                self.finish(request, FAILED, Ended.ABORTED)
+            else:  # nothing of it has left
+                self.finish(request, REFUSED, Ended.DECLINED)
             self.give(api.RequestLapsed(request))
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import hashlib
 import json
 import logging
+import math
 import random
 from collections.abc import Iterator
 from functools import partial
@@ -45,8 +47,10 @@
 log = logging.getLogger(__name__)
 
 NOTICE_S = 0.45  # on a drain, connections go on coming for this long: the front asks and notices
-LAST_ANSWER_S = 3.4  # after SIGTERM: what is open then is failed, before SIGKILL would lose it
-CLOSING_S = 0.1
+# SIGKILL comes after SIGTERM no sooner than the longest deadline, counted as so long at most, and this.
+LONGEST_DEADLINE_S, KILLED_AFTER_S = 3.0, 0.7
+LAST_ANSWERS_S = 0.3  # before SIGKILL could come: what is open then is ended, which would be lost by it
+CLOSING_S = 0.15  # for these answers to leave
 NEWS_S = 0.25  # for discovery's first word before clients are taken; it says nothing if nothing changed
 HOLDS_S = 0.05  # between two tellings of the descriptors that are held
 MOST_TOLD = 32  # backends, or zones, out by hand or just back that the other gateways are told of
@@ -593,18 +597,25 @@
         log.info("draining")
         self.note("ending", "", "", "SIGTERM")
         self.part(leave=not self.clients.handed)
-        started = self.loop.time()
+        last_answers = self.loop.time() + self.longest_drain()
         self.clients.end(NOTICE_S)
         if not self.clients.handed:
             await asyncio.sleep(NOTICE_S)
         self.clients.stop_accepting()
         try:
-            async with asyncio.timeout_at(started + LAST_ANSWER_S):
-                await self.clients.empty.wait()
+            async with asyncio.timeout_at(last_answers):
+                await self.clients.wait_until_empty()
         except TimeoutError:
             log.warning("%d requests open at the end", len(self.driver.requests))
-            self.driver.fail_all()
-            await asyncio.sleep(CLOSING_S)
+            self.driver.end_all()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CLOSING_S):
+                    await self.clients.wait_until_empty()
+
+    def longest_drain(self) -> float:
+        """Seconds after SIGTERM until what is still open is ended, before SIGKILL would lose it."""
+        longest = max((kind.deadline for kind in self.config.settings.classes), default=math.inf)
+        return min(longest / 1000, LONGEST_DEADLINE_S) + KILLED_AFTER_S - LAST_ANSWERS_S
 
     def close(self) -> None:
         if self.emptying is not None:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -733,7 +733,7 @@
         assert small.reply is None and len(scene.driver.requests) == 13
         scene.driver.on_client_gone("r0")
         assert scene.driver.shares.held == {"00000000b4d65521": 11, "00000000b4d65522": 1}
-        scene.driver.fail_all()
+        scene.driver.end_all()
         assert not scene.driver.shares.held and scene.figures.crowded == 8
 
     in_loop(scenario)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -184,7 +184,7 @@
         assert scene.driver.hindrance(owner, now[0] + KEYED_WINDOW_MS - REPEAT_MARGIN_MS - 1) is None
         late = now[0] + KEYED_WINDOW_MS - REPEAT_MARGIN_MS
         assert scene.driver.hindrance(owner, late) is api.Outcome.IGNORED
-        scene.driver.fail_all()
+        scene.driver.end_all()
 
     in_loop(scenario)
 
@@ -200,6 +200,6 @@
         full = scene.driver.attempts["r1", 1]
         scene.driver.on_ended(owner, 1, now[0], full, api.Outcome.FULL, b"")
         assert scene.driver.hindrance(owner, now[0] + 10 * KEYED_WINDOW_MS) is None
-        scene.driver.fail_all()
+        scene.driver.end_all()
 
     in_loop(scenario)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -10,14 +10,22 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any
 
 import pytest
 
+from fleetlab.agents import host
 from fleetlab.alone import World, in_loop, request, running
 from fleetlab.backends import Backend
-from fleetlab.sockets import LOCAL, Peer, Reply, until
+from fleetlab.sockets import LOCAL, Peer, Reply, encode, until
 from roadpulley import clock
+from roadpulley.accept import Acceptor, listening
+from roadpulley.clients import ClientServer
 from roadpulley.config import ConfigError, parse_config
+from roadpulley.descriptors import Budget
+from roadpulley.figures import Figures
+from roadpulley.service import CLOSING_S, Service
+from roadpulley.streams import Room
 
 ROOT = Path(__file__).parents[1]
 
@@ -90,7 +98,7 @@
 
 def test_what_is_open_at_the_end_is_failed_rather_than_lost(monkeypatch: pytest.MonkeyPatch) -> None:
     """SIGKILL would leave its client without an answer; whether it ran is not known, so it is no refusal."""
-    monkeypatch.setattr("roadpulley.service.LAST_ANSWER_S", 0.05)
+    monkeypatch.setattr("roadpulley.service.Service.longest_drain", lambda _: 0.05)
 
     async def silent(command: list[bytes]) -> Reply:
         return None
@@ -108,6 +116,136 @@
     in_loop(scenario)
 
 
+@pytest.mark.parametrize(("deadline_ms", "killed_s"), [(900.0, 1.6), (2_000.0, 2.7), (8_000.0, 3.7)])
+def test_the_last_answers_are_given_before_sigkill_may_come(deadline_ms: float, killed_s: float) -> None:
+    async def scenario() -> None:
+        config = World().config()
+        classes = [{**kind, "deadline": deadline_ms} for kind in config["settings"]["classes"]]
+        settings = {**config["settings"], "classes": classes}
+        given = {**config, "settings": settings, "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1"}
+        service = Service(parse_config(given), asyncio.Event())
+        assert killed_s - 0.35 <= service.longest_drain() + CLOSING_S < killed_s - 0.1
+
+    in_loop(scenario)
+
+
+def test_at_the_end_what_never_left_is_refused_and_so_is_what_still_comes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("roadpulley.service.Service.longest_drain", lambda _: 0.05)
+    monkeypatch.setattr("roadpulley.service.CLOSING_S", 60.0)
+
+    class Deaf(World):
+        """Its backend's handshakes never come up: nobody accepts, and the backlog is full."""
+
+        def hosts(self) -> list[dict[str, Any]]:
+            return [host("h0", deaf.getsockname()[1])]
+
+    async def scenario() -> None:
+        fillers = [socket.socket() for _ in range(3)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(deaf.getsockname())
+        async with running(Deaf(connect_ms=60_000.0)) as world:
+            waits, last = await world.client(), await world.client()
+            waits.send(*request(b"waits", name=b"wipe", wait=60_000, body=b"x"))
+            whole = encode(*request(b"last", name=b"wipe", wait=60_000, body=b"x"))
+            last.writer.write(whole[:-10])
+            for peer in (waits, last):
+                await peer.writer.drain()
+            world.stop.set()
+            assert str(await waits.receive()) == "BUSY"
+            last.writer.write(whole[-10:])
+            assert str(await last.receive()).startswith("BUSY")
+            assert await last.receive() is None
+        for filler in fillers:
+            filler.close()
+
+    with socket.create_server((LOCAL, 0), backlog=0) as deaf:
+        in_loop(scenario)
+
+
+def test_signals_again_and_again_change_nothing_of_a_drain(tmp_path: Path) -> None:
+    """A second SIGTERM, and SIGHUP in the drain, with a request half read and one pipelined behind it."""
+
+    async def scenario() -> None:
+        backend = Backend()
+        world = World(backend)
+        servers = (backend, world.counter, world.discovery)
+        for server in servers:
+            await server.start()
+        with socket.create_server((LOCAL, 0)) as free:
+            port = free.getsockname()[1]
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{port}"}))
+        process = await start(config)
+        try:
+            peer, asker = await connect(port), await connect(port)
+            peer.send(b"PING")
+            assert await peer.receive() == b"PONG"
+            whole = encode(*request(b"one")) + encode(*request(b"two"))
+            peer.writer.write(whole[:50])
+            for sent in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                process.send_signal(sent)
+            answer: object = b"PONG"
+            while answer == b"PONG":
+                asker.send(b"PING")
+                answer = await asker.receive()
+            peer.writer.write(whole[50:])
+            assert [await peer.receive() for _ in range(3)] == [b"value", b"value", None]
+            assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+            for server in servers:
+                await server.stop()
+
+    in_loop(scenario)
+
+
+def test_a_connection_that_waits_to_be_accepted_is_served_at_the_end() -> None:
+    """Closing the listening socket resets what waits in its backlog, with the requests on it."""
+
+    async def scenario() -> None:
+        made = listening((LOCAL, 0), 16)
+        opened: list[str] = []
+
+        class Opened(asyncio.Protocol):
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                opened.append("opened")
+                transport.close()
+
+        acceptor = Acceptor(made, Opened, Budget(256))
+        waiting = [socket.create_connection((LOCAL, acceptor.port)) for _ in range(12)]  # in this very turn
+        acceptor.accept_rest()
+        acceptor.close()
+        assert len(acceptor.opening) == 12
+        await asyncio.wait(list(acceptor.opening))
+        assert len(opened) == 12
+        for sock in waiting:
+            sock.close()
+
+    in_loop(scenario)
+
+
+def test_the_end_waits_for_a_connection_that_is_being_opened() -> None:
+    async def scenario() -> None:
+        server = ClientServer(None, Budget(256), Room(2**26), Figures([]))  # type: ignore[arg-type]
+        port = server.listen(listening((LOCAL, 0), 16))
+        sock = socket.create_connection((LOCAL, port))
+        server.stop_accepting()
+        assert server.empty.is_set() and server.holds_clients
+        ended = asyncio.create_task(server.wait_until_empty())
+        await until(lambda: server.connections)
+        assert not ended.done()
+        sock.close()
+        await ended
+        server.close()
+
+    in_loop(scenario)
+
+
 @pytest.mark.parametrize("text", ["", "[]", "{}", '{"listen": "here", "discovery": "there", "settings": {}}'])
 def test_a_bad_configuration_is_named_in_one_line(tmp_path: Path, text: str) -> None:
     config = tmp_path / "config.json"
