SIGHUP: a configuration that can't be read yet is tried again

Need: after SIGHUP discovery's news counts as told 4 s later, so the move must not be lost. At fault: reload() read the file once; half written, or with no descriptor left, the change was dropped for good (__main__.py). Ruled out: the discovery part, which moves at once since it wakes from its pause. Change: up to four more tries, 0.2 s apart; only then it is told that the old one still holds.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -18,6 +18,8 @@
 
 log = logging.getLogger("roadpulley")
 
+RELOAD_TRIES, RELOAD_WAIT_S = 4, 0.2  # after SIGHUP, the platform waits 4 s for its news to be taken
+
 
 async def serve(
     config: Config,
@@ -49,13 +51,18 @@
     config = load_config(path)
     stop, changes = asyncio.Event(), asyncio.Queue[Config]()
 
-    def reload() -> None:
+    loop = asyncio.get_running_loop()
+
+    def reload(more_tries: int = RELOAD_TRIES) -> None:
+        """Read the file again; not only once, as it may be half written or no descriptor be left for it."""
         try:
             changes.put_nowait(load_config(path))
         except ConfigError as error:
-            log.warning("the changed configuration is not taken: %s", error)  # the old one still holds
+            if more_tries:
+                loop.call_later(RELOAD_WAIT_S, reload, more_tries - 1)
+            else:
+                log.warning("the changed configuration is not taken: %s", error)  # the old one still holds
 
-    loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reload)
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -204,6 +204,58 @@
     in_loop(scenario)
 
 
+def test_sigterm_during_the_start_ends_it_with_0(tmp_path: Path) -> None:
+    """It has read its configuration and asked discovery, and does not yet take clients."""
+
+    async def scenario() -> None:
+        world = World(Backend())
+        servers = (*world.backends, world.counter, world.discovery)
+        for server in servers:
+            await server.start()
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:0"}))
+        process = await start(config)
+        await until(lambda: world.discovery.requests)
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+        for server in servers:
+            await server.stop()
+
+    in_loop(scenario)
+
+
+def test_a_configuration_that_is_half_written_at_sighup_is_taken_once_it_is_whole(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        old, new = World(Backend()), World(Backend())
+        servers = [w for world in (old, new) for w in (*world.backends, world.counter, world.discovery)]
+        for server in servers:
+            await server.start()
+        with socket.create_server((LOCAL, 0)) as free:
+            port = free.getsockname()[1]
+        config = tmp_path / "config.json"
+        given = {**old.config(), "listen": f"{LOCAL}:{port}"}
+        config.write_text(json.dumps(given))
+        process = await start(config)
+        try:
+            peer = await connect(port)
+            await until(lambda: old.discovery.watches)
+            moved = json.dumps({**given, "discovery": f"{LOCAL}:{new.discovery.port}"})
+            config.write_text(moved[: len(moved) // 2])
+            process.send_signal(signal.SIGHUP)
+            peer.send(b"PING")
+            assert await peer.receive() == b"PONG"  # the signal has been taken before
+            config.write_text(moved)
+            await until(lambda: new.discovery.watches)
+            peer.close()
+        finally:
+            process.terminate()
+            assert await process.wait() == 0
+            for server in servers:
+                await server.stop()
+
+    in_loop(scenario)
+
+
 def test_a_connection_that_waits_to_be_accepted_is_served_at_the_end() -> None:
     """Closing the listening socket resets what waits in its backlog, with the requests on it."""
 
