--- a/fleetlab/launch.py
+++ b/fleetlab/launch.py
@@ -93,8 +93,8 @@
     from mintford import interface, rules
     from roadpulley import backends
 
-    replace(rules.Gateway, "allowed", lambda self, b: True)
-    replace(backends.Host, "takes_new", lambda self, now: True)
+    replace(rules.Gateway, "usable", lambda self, b: b.ready)
+    replace(backends.Host, "takes_new", property(lambda self: True))
 
     def update(self: Any, entry: Any) -> None:
         before(self, entry)
