Quotas: only where an even part is next to nothing do unread tries go by those that are read

Cause: the rule for requests without a reading was made for gateways by the hundred, whose local bucket holds one largest request however small their even part is. Of four gateways the bucket is the even part, and safe; thinned there, and with what is let in unread taken off, customers inside their quota were refused. Change: it holds where the even part of a burst is under a quarter of the largest request; there the square of the part that fitted is let in.

--- a/mintford/customers.py
+++ b/mintford/customers.py
@@ -7,7 +7,7 @@
 from . import interface as api
 
 LEASE_MS = 15_000.0  # the design's lease
-SPARSE = 1.5  # of the largest requests: an even part of the burst under this is too thin to spend locally
+SPARSE, SCATTERED = 1.5, 0.25  # largest requests in an even part of the burst: too thin to spend; next to none
 
 
 class Customer:
@@ -21,13 +21,13 @@
     def __init__(self, key: str, plan: api.Plan, even: float, now: float, since: float, unit: float) -> None:
         self.key, self.plan, self.even = key, plan, even  # even: a gateway's even share
         self.tokens, self.filled_at, self.out = max(unit, plan.burst * self.even), now, 0
-        # Danger: a restarted gateway does not know what it sent before. Counted as empty at its start, its
-        # part of the ceiling can never be spent twice.
+        # Danger: a restarted gateway does not know what it sent. From empty, its part is never spent twice.
         self.ceiling = (now - since) / 1000 * plan.ceiling_rate * self.even
         self.top = self.even  # the part of the ceiling
         self.elsewhere = 0  # attempts out at the other process of this gateway
         self.keep_ms = max(LEASE_MS, plan.ceiling_burst / max(plan.ceiling_rate, 1e-9) * 1000)
         self.sparse = plan.burst * self.even < SPARSE * unit
+        self.scattered = 0 < plan.burst * self.even < SCATTERED * unit  # over so many gateways
         self.part, self.chance = self.even, 1.0  # the lease: of quota and burst; of the requests, if sparse
         self.store = plan.burst  # what all gateways have left, by the last reading and own sends since
         self.spent = 0.0  # sent on here since that reading
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -324,11 +324,11 @@
         short = units - c.tokens if plan.rate else 0.0
         if by_store := c.sparse and c.heard and plan.rate > 0:  # past the quota, a fraction of all wants
             unread = (1 - self.counter_room) * self.fitting  # let in beside those that are read
-            by_chance = (CHANCE_PART * c.chance - unread) / self.counter_room
-            lucky = c.chance < 1 and self.random.random() < by_chance
+            part = (CHANCE_PART * c.chance - unread) / self.counter_room if c.scattered else c.chance
+            lucky = c.chance < 1 and self.random.random() < part
             short = 0.0 if lucky else units - c.store if c.chance == 1 else units
             self.fitting += ((short <= 0) - self.fitting) * FITTING_WEIGHT
-        elif c.sparse and plan.rate and self.random.random() >= self.fitting:
+        elif c.scattered and self.random.random() >= self.fitting**2:
             short = units  # Danger: let in unread at each of many gateways, it would be served many times.
         crowded = bool(plan.open_limit) and c.out + c.elsewhere + 1 > max(1.0, plan.open_limit * c.part)
         strain = (expected := self.time_to_answer(now)) / max(kind.aim, 1.0)
