--- a/fleetlab/counters.py
+++ b/fleetlab/counters.py
@@ -45,9 +45,7 @@
 class MeteredCounter(Counter):
     """Takes so many calls a second, one after another; crowded, it turns calls away."""
 
-    def __init__(
-        self, given: CounterGiven, records: Records, of: Callable[[Ends], str]
-    ) -> None:
+    def __init__(self, given: CounterGiven, records: Records, of: Callable[[Ends], str]) -> None:
         super().__init__()
         self.given, self.records, self.of = given, records, of
         self.free_at = 0.0  # when it has done all that waits
@@ -106,9 +104,7 @@
         for name in [n for n, ends in self.lives.items() if ends <= now]:
             del self.totals[name], self.lives[name]
 
-    async def answer(
-        self, answers: asyncio.Queue[tuple[float, bytes]], writer: asyncio.StreamWriter
-    ) -> None:
+    async def answer(self, answers: asyncio.Queue[tuple[float, bytes]], writer: asyncio.StreamWriter) -> None:
         while True:
             due, reply = await answers.get()
             wait = due - asyncio.get_running_loop().time()
--- a/fleetlab/line.py
+++ b/fleetlab/line.py
@@ -44,9 +44,7 @@
     def wall(self, at: Address) -> float:
         return WALL_MS + self.now * 1000 + self.clocks.get(at, 0.0)
 
-    def add(
-        self, number: int, seeds: Iterable[int] = (0,), life: Life | None = None, name: str = ""
-    ) -> Node:
+    def add(self, number: int, seeds: Iterable[int] = (0,), life: Life | None = None, name: str = "") -> Node:
         """Start a node; one of the same number before it is gone without a word."""
         address = address_of(number)
         given = life or (int(self.wall(address)), self.chance.getrandbits(30))
--- a/fleetlab/links.py
+++ b/fleetlab/links.py
@@ -491,9 +491,7 @@
 class UdpLink(asyncio.DatagramProtocol):
     """An address of the lab's whose datagrams go on to a target, each by the path of its sender's host."""
 
-    def __init__(
-        self, at: Address, route: Callable[[str], Path | None], chance: random.Random
-    ) -> None:
+    def __init__(self, at: Address, route: Callable[[str], Path | None], chance: random.Random) -> None:
         self.at, self.route, self.chance = at, route, chance
         self.transport: asyncio.DatagramTransport | None = None
         self.counts = {"taken": 0, "given": 0, "lost": 0}
--- a/fleetlab/processes.py
+++ b/fleetlab/processes.py
@@ -37,9 +37,7 @@
     nobody asked for is told as a crash.
     """
 
-    def __init__(
-        self, name: str, index: int, zone: str, folder: Path, net: Net, records: Records
-    ) -> None:
+    def __init__(self, name: str, index: int, zone: str, folder: Path, net: Net, records: Records) -> None:
         self.name, self.index, self.zone, self.records = name, index, zone, records
         self.host = net.gateway(index)
         self.listen, self.operator = (self.host, LISTEN), (self.host, OPERATOR)
--- a/fleetlab/stage.py
+++ b/fleetlab/stage.py
@@ -70,9 +70,7 @@
             rack = f"{zone}{index // len(scenario.fleet.zones) % scenario.backends.racks}"
             self.racks[name] = rack
             kept = racks.setdefault(rack, Rack())
-            model = ModelBackend(
-                name, zone, scenario.backends, kept, self.records, self.sender, self.work_of
-            )
+            model = ModelBackend(name, zone, scenario.backends, kept, self.records, self.sender, self.work_of)
             model.breaks = scenario.backends.breaks.get(name, "")
             made[name] = model
             block = list(racks).index(rack)
@@ -155,9 +153,7 @@
         scenario, fleet = self.scenario, self.scenario.fleet
         seq, hosts = self.known[gateway.name]
         listed = [{**h, "dial": self.dial(gateway.name, h["host"])} for h in hosts.values()]
-        own = settings.settings(
-            gateway.index, fleet.gateways, gateway.zone, fleet.zones, fleet.cross_price
-        )
+        own = settings.settings(gateway.index, fleet.gateways, gateway.zone, fleet.zones, fleet.cross_price)
         own["rules"] = own["rules"] | {
             "startCapacity": scenario.backends.start_capacity,
             "warmWithin": scenario.backends.warm_s * 1000,
--- a/measure/lab.py
+++ b/measure/lab.py
@@ -1,6 +1,6 @@
 """What a link of the lab adds: the same echo, straight and through a link, 400 messages a second.
 
-    .venv/bin/python measure/lab.py          # three plays of 5 s each way; it needs the lab extra
+.venv/bin/python measure/lab.py          # three plays of 5 s each way; it needs the lab extra
 """
 
 from __future__ import annotations
--- a/mintford/customers.py
+++ b/mintford/customers.py
@@ -14,8 +14,24 @@
     """One customer at this gateway: its lease and its local buckets."""
 
     PASSED = (  # to the next process: numbers and truths alone
-        "even", "top", "tokens", "filled_at", "ceiling", "part", "chance", "store", "spent", "lease_end",
-        "fresh_until", "heard", "unsaid", "mine", "all", "period", "reading", "read_at",
+        "even",
+        "top",
+        "tokens",
+        "filled_at",
+        "ceiling",
+        "part",
+        "chance",
+        "store",
+        "spent",
+        "lease_end",
+        "fresh_until",
+        "heard",
+        "unsaid",
+        "mine",
+        "all",
+        "period",
+        "reading",
+        "read_at",
     )
 
     def __init__(self, key: str, plan: api.Plan, even: float, now: float, since: float, unit: float) -> None:
--- a/mintford/keeping.py
+++ b/mintford/keeping.py
@@ -29,7 +29,16 @@
     """What a customer may spend before its next row is on disk."""
 
     __slots__ = (
-        "ahead", "asked", "dry_at", "dry_spent", "next_pace", "pace", "row", "serial", "since", "told_at",
+        "ahead",
+        "asked",
+        "dry_at",
+        "dry_spent",
+        "next_pace",
+        "pace",
+        "row",
+        "serial",
+        "since",
+        "told_at",
     )
 
     def __init__(self, ahead: float, pace: tuple[float, float]) -> None:
@@ -165,8 +174,12 @@
         out.append(api.SetTimer(STALE_MS / 2, "keep"))
 
     def turn(
-        self, now: float, event: api.KeepingTurned, customers: Mapping[str, Customer],
-        state: Mapping[str, Any], out: api.Actions,
+        self,
+        now: float,
+        event: api.KeepingTurned,
+        customers: Mapping[str, Customer],
+        state: Mapping[str, Any],
+        out: api.Actions,
     ) -> None:
         """Begin to keep with a file that holds nothing, or leave off."""
         if event.last:
--- a/mintford/rows.py
+++ b/mintford/rows.py
@@ -105,8 +105,14 @@
             c.elsewhere = 0
 
     def tell(
-        self, c: Customer, out: api.Actions, asked: float = 0.0, tokens: float = 0.0, units: float = 0.0,
-        ceiling: float = 0.0, open: int = 0,
+        self,
+        c: Customer,
+        out: api.Actions,
+        asked: float = 0.0,
+        tokens: float = 0.0,
+        units: float = 0.0,
+        ceiling: float = 0.0,
+        open: int = 0,
     ) -> None:
         """Let the other process take the same from its copy of a customer's buckets."""
         if self.beside:
--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -524,7 +524,6 @@
         open_here = bool(self.slots) or self.body is not None or self.reader.has_data() or self.unread
         return not open_here and not self.transport.get_write_buffer_size()
 
-
     @property
     def is_spare(self) -> bool:
         """It may be closed now: also nothing has come that this process has yet to read."""
--- a/roadpulley/ctl_audit.py
+++ b/roadpulley/ctl_audit.py
@@ -96,9 +96,7 @@
         return str(error) or type(error).__name__
 
 
-def read_all(
-    sources: tuple[str, ...], heads: bool = False
-) -> tuple[dict[str, Source], dict[str, str]]:
+def read_all(sources: tuple[str, ...], heads: bool = False) -> tuple[dict[str, Source], dict[str, str]]:
     """By source; and what could not be reached."""
     with ThreadPoolExecutor(min(AT_ONCE, len(sources))) as pool:
         answers = dict(zip(sources, pool.map(partial(read, heads=heads), sources), strict=True))
--- a/roadpulley/fleet/members.py
+++ b/roadpulley/fleet/members.py
@@ -239,9 +239,7 @@
         if member is None or not member.here:
             return
         known = member.rumor
-        said = Rumor(
-            name, known.life, known.incarnation, State.SUSPECT, known.host, known.port, self.me.name
-        )
+        said = Rumor(name, known.life, known.incarnation, State.SUSPECT, known.host, known.port, self.me.name)
         self.take(said, now)
 
     def expire(self, now: float) -> None:
@@ -260,9 +258,7 @@
                 found.append(name)
         for name in found:
             known = self.others[name].rumor
-            self.take(
-                Rumor(name, known.life, known.incarnation, State.DEAD, known.host, known.port), now
-            )
+            self.take(Rumor(name, known.life, known.incarnation, State.DEAD, known.host, known.port), now)
 
     def woke(self, now: float) -> None:
         """This process was stopped: what it has not heard meanwhile says nothing of the others."""
--- a/roadpulley/peers.py
+++ b/roadpulley/peers.py
@@ -76,9 +76,7 @@
         self.loop = asyncio.get_running_loop()
         self.line, self.words = line, words
         seal = Seal(line.fleet, line.secret)
-        self.node = Node(
-            name, life, line.advertise, line.seeds, seal, chance, self.loop.time(), now_ms()
-        )
+        self.node = Node(name, life, line.advertise, line.seeds, seal, chance, self.loop.time(), now_ms())
         self.transport: asyncio.DatagramTransport | None = None
         self.server: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
--- a/roadpulley/rejoin.py
+++ b/roadpulley/rejoin.py
@@ -349,5 +349,3 @@
             "withheld": self.driver.withheld,
             "waited_ms": self.waited_ms,
         }
-
-
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -108,9 +108,7 @@
             self.driver.members(api.ListScope.SAVED, known.members)
         apart = asks_apart(config.settings.gateways) if config.settings.must_ask_for_list else 0.0
         chance = random.Random(config.seed)
-        self.discovery = Discovery(
-            config.discovery, version, self.driver.members, chance, self.budget, apart
-        )
+        self.discovery = Discovery(config.discovery, version, self.driver.members, chance, self.budget, apart)
         self.audit: Audit | None = None  # the versions acted on, with `fleet` or `audit`
         self.recovery: Recovery | None = None  # of the state on disk, if there is a folder for it
         self.hands: dict[str, Bans] = {}  # what operators call, by kind
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -246,8 +246,11 @@
     plans = tuple(api.Plan(name) for name in ("one", "two", "three"))
     refused = 0
     for index in range(40):
-        w = World([entry(i) for i in range(60)], seed=index,
-                  **{**OPEN, "plans": plans, "gateways": 40, "index": index, "max_attempts": 5})
+        w = World(
+            [entry(i) for i in range(60)],
+            seed=index,
+            **{**OPEN, "plans": plans, "gateways": 40, "index": index, "max_attempts": 5},
+        )
         for i in range(90):
             send = one(w.ask(("view", "order", "wipe")[i % 3], plans[i // 3 % 3].name))
             attempt = 0
@@ -264,8 +267,11 @@
     plans = tuple(api.Plan(name) for name in ("one", "two", "three"))
     failed = 0
     for index in range(40):
-        w = World([entry(i) for i in range(60)], seed=index,
-                  **{**OPEN, "plans": plans, "gateways": 40, "index": index})
+        w = World(
+            [entry(i) for i in range(60)],
+            seed=index,
+            **{**OPEN, "plans": plans, "gateways": 40, "index": index},
+        )
         for i in range(180):
             send = one(w.ask(("view", "order", "wipe")[i % 3], plans[i // 3 % 3].name))
             w.pass_time(20)
@@ -315,8 +321,11 @@
     """Danger: many gateways, each with a little for a cold backend, push it over together."""
     hits = 0
     for index in range(200):
-        w = World([entry(i, started=9_990 if i == 5 else 0) for i in range(20)], seed=index,
-                  **{**OPEN, "gateways": 200, "index": index})
+        w = World(
+            [entry(i, started=9_990 if i == 5 else 0) for i in range(20)],
+            seed=index,
+            **{**OPEN, "gateways": 200, "index": index},
+        )
         for _ in range(10):
             send = one(w.ask())
             hits += send.backend == 5
@@ -354,8 +363,11 @@
     met = {False: 0, True: 0}
     rules = api.SafetyRules(500, 0.25, 16_000, 3)
     for index in range(40):
-        w = World([entry(i, started=9_900 if i < 36 else 0) for i in range(60)], seed=index,
-                  **{**OPEN, "gateways": 40, "index": index, "rules": rules})
+        w = World(
+            [entry(i, started=9_900 if i < 36 else 0) for i in range(60)],
+            seed=index,
+            **{**OPEN, "gateways": 40, "index": index, "rules": rules},
+        )
         for _ in range(50):
             send = one(w.ask())
             met[send.backend < 36] += 1
--- a/tests/test_line_plays.py
+++ b/tests/test_line_plays.py
@@ -220,9 +220,7 @@
     assert {one["rule"] for one in played.result.breaches} <= {"bans"}  # until they could know
 
 
-def test_ctl_shows_who_sees_whom_and_marks_differences(
-    monkeypatch: pytest.MonkeyPatch, capsys: Any
-) -> None:
+def test_ctl_shows_who_sees_whom_and_marks_differences(monkeypatch: pytest.MonkeyPatch, capsys: Any) -> None:
     def view(name: str, **states: str) -> dict[str, Any]:
         rows = {n: {"state": s, "life": [1, 2], "heard_s": 3.0, "zone": "a"} for n, s in states.items()}
         return {"name": name, "members": rows, "minority": name == "g1"}
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -119,9 +119,7 @@
     in_loop(scenario)
 
 
-def test_the_environment_goes_before_the_file(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_the_environment_goes_before_the_file(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     path = tmp_path / "config.json"
     given = {"listen": "10.0.0.4:1", "discovery": "10.0.0.5:1", "settings": {}}
     path.write_text(json.dumps(given))
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -383,9 +383,7 @@
 
 
 @pytest.mark.parametrize("mute", [False, True])
-def test_an_old_process_that_dies_half_way_leaves_its_state(
-    tmp_path: Path, folder: Path, mute: bool
-) -> None:
+def test_an_old_process_that_dies_half_way_leaves_its_state(tmp_path: Path, folder: Path, mute: bool) -> None:
     async def scenario() -> None:
         async with site(tmp_path, Backend()) as made:
             keep_state(made, folder)
--- a/tests/test_shutting.py
+++ b/tests/test_shutting.py
@@ -245,8 +245,10 @@
     assert ["shut", "", "g3", OUT] in seen
     logs = {name: (played.folder / f"gateways/{name}/life-1.log").read_text() for name in ("g1", "g3")}
     assert "shut out: its list is behind" in logs["g3"] and "shut out" not in logs["g1"]
-    assert [e["how"] for e in played.of("op", g="g0")] == [e["how"] for e in played.of("op", g="g5")] == [
-        *("called", "yes")
-    ]
+    assert (
+        [e["how"] for e in played.of("op", g="g0")]
+        == [e["how"] for e in played.of("op", g="g5")]
+        == [*("called", "yes")]
+    )
     assert [e for e in played.of("front", g="g3") if not e["up"]]  # the front sends it nobody meanwhile
     assert json.dumps(seen).count('"shut-grant"') >= 3
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -339,9 +339,7 @@
 
 def connect_by(monkeypatch: pytest.MonkeyPatch) -> None:
     was = sqlite3.connect
-    monkeypatch.setattr(
-        module.sqlite3, "connect", lambda path, **given: was(path, factory=Failing, **given)
-    )
+    monkeypatch.setattr(module.sqlite3, "connect", lambda path, **given: was(path, factory=Failing, **given))
     monkeypatch.setattr(Failing, "failing", "")
 
 
