A failed system call no longer ends a start, a periodic task, a close or another's request

Found on the way: an attempt that waited for a connection began for a request that had its answer, or whose connection had been lost.

--- a/roadpulley/accept.py
+++ b/roadpulley/accept.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import os
 import socket
@@ -23,17 +24,62 @@
 TURN_S = 0.01  # between two turns that accept: a longer one keeps requests already taken waiting
 REST_S = 0.05  # before the next try when the system gives no descriptor
 INHERITED = "LB_INHERITED_FD"
+INHERITED_TRIES = 5  # to ask the system what the descriptor is
+LISTEN_AGAIN_S = 0.05  # between two tries to get an address
+NEVER = {errno.EACCES, errno.EPERM, errno.EINVAL, errno.EAFNOSUPPORT}  # of bind: no wait changes these
+# What accept tells of one connection that has failed meanwhile: the next one may be sound.
+OF_ONE_CONNECTION = {
+    errno.ECONNABORTED,
+    errno.EPROTO,
+    errno.ENOPROTOOPT,
+    errno.EPERM,
+    errno.ENETDOWN,
+    errno.ENETUNREACH,
+    errno.EHOSTDOWN,
+    errno.EHOSTUNREACH,
+    errno.ENONET,
+    errno.ETIMEDOUT,
+}
+
+
+class ListenError(Exception):
+    """The address can't be listened on, and waiting longer would not help."""
+
+
+async def listening_in_time(address: Address, backlog: int, within_s: float) -> socket.socket:
+    """A new listening socket; tried again for so long where the machine refuses it for a moment.
+
+    An older process may still hold the address, a table of the system may be full. Raises ListenError.
+    """
+    loop = asyncio.get_running_loop()
+    until = loop.time() + within_s
+    while True:
+        try:
+            return listening(address, backlog)
+        except OSError as error:
+            if error.errno in NEVER or loop.time() > until:
+                raise ListenError(f"can't listen at {address[0]}:{address[1]}: {error}") from error
+            log.warning("not listening at %s:%d yet: %s", *address, error)
+        await asyncio.sleep(LISTEN_AGAIN_S)
+
+
+def close_socket(sock: socket.socket) -> None:
+    """Close it; an error of close says something of the past, and the descriptor is free all the same."""
+    try:
+        sock.close()
+    except OSError as error:
+        log.info("a socket was closed with an error: %s", error)
 
 
 def listening(address: Address, backlog: int) -> socket.socket:
-    """A new listening socket."""
+    """A new listening socket; raises OSError."""
     made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         made.bind(address)
         made.listen(backlog)
     except OSError:
-        made.close()
+        close_socket(made)
         raise
     return made
 
@@ -43,15 +89,26 @@
     named = os.environ.get(INHERITED)
     if not named:
         return None
+    for _ in range(INHERITED_TRIES):
+        try:
+            return listening_descriptor(int(named))
+        except (OSError, ValueError) as error:
+            log.warning("descriptor %r can't be used: %s", named, error)
+    log.warning("a new socket is opened in place of descriptor %r", named)
+    return None
+
+
+def listening_descriptor(number: int) -> socket.socket:
+    """The listening socket of this number; raises OSError or ValueError for anything else."""
+    passed = socket.socket(fileno=number)
     try:
-        passed = socket.socket(fileno=int(named))
         if passed.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
             return passed
+    except OSError:
         passed.detach()  # not ours to close
-        log.warning("descriptor %s does not listen; a new socket is opened", named)
-    except (OSError, ValueError) as error:
-        log.warning("descriptor %r can't be used, a new socket is opened: %s", named, error)
-    return None
+        raise
+    passed.detach()
+    raise ValueError("it does not listen")
 
 
 class Pace:
@@ -102,9 +159,18 @@
         return int(self.socket.getsockname()[1])
 
     def resume(self) -> None:
-        if not self.closed:
-            self.resting, self.accepts = None, True
+        """Accept from now on, or as soon as the event loop can watch the socket."""
+        if self.closed:
+            return
+        self.resting, self.accepts = None, True
+        try:
             self.loop.add_reader(self.socket.fileno(), self._accept)
+        except OSError as error:
+            log.warning("the listening socket can't be watched yet: %s", error)
+            self._rest()
+
+    def _rest(self) -> None:
+        self.resting = self.loop.call_later(REST_S, self.resume)
 
     def pause(self) -> None:
         """Accept nothing for now. Another process that holds the socket goes on accepting."""
@@ -130,14 +196,15 @@
                 accepted, _ = self.socket.accept()
             except (BlockingIOError, InterruptedError):
                 return False
-            except ConnectionAbortedError:
-                continue  # this peer has gone; others may wait behind it
-            except OSError as error:  # most likely no descriptor is left
+            except OSError as error:
+                if error.errno in OF_ONE_CONNECTION:
+                    continue
+                # Most likely no descriptor is left.
                 if self.budget.relieve(error) and self.first and self.budget.lend_spare():
                     continue
                 log.warning("no connection can be accepted: %s", error)
                 self.loop.remove_reader(self.socket.fileno())
-                self.resting = self.loop.call_later(REST_S, self.resume)
+                self._rest()
                 return False
             accepted.setblocking(False)
             task: asyncio.Task[object] = self.loop.create_task(self._open(accepted))
@@ -148,8 +215,8 @@
     async def _open(self, accepted: socket.socket) -> None:
         try:
             await self.loop.connect_accepted_socket(self.make, accepted)
-        except OSError as error:  # it went away meanwhile
-            accepted.close()
+        except OSError as error:  # it went away meanwhile, or has no room here
+            close_socket(accepted)
             log.warning("a connection could not be taken: %s", error)
 
     def close(self) -> None:
@@ -157,4 +224,4 @@
         if not self.closed:
             self.pause()
             self.closed = True
-            self.socket.close()
+            close_socket(self.socket)
--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -19,6 +19,7 @@
 
 from mintford.interface import BackendState, Outcome
 
+from .accept import close_socket
 from .clock import Timer, Timers, now_ms
 from .config import Address
 from .descriptors import Budget, Part
@@ -36,6 +37,9 @@
 SETTLE_SHARE, SETTLE_MS = 0.5, 30.0
 READ_BYTES = 64 * 1024
 STALL_MS = 10_000.0  # without a byte of a long value while this side would take or give more: it has broken
+AGAIN_MS = 10.0  # until a handshake is begun again that this machine refused
+# Errors of connect that tell nothing of the other side, beside a shortage of descriptors.
+OF_THIS_MACHINE = {errno.EAGAIN, errno.EINTR, errno.EPERM}
 MOST_ITEMS, LARGEST_REPLY = 16, 128 * 1024  # of an answer: three; bytes less a value that comes in pieces
 
 
@@ -94,29 +98,31 @@
         self.idle_since = self.idle_for = self.sent_at = 0.0  # idle_for: before the attempt that is on it
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.fd = self.socket.fileno()
+        self.timer: asyncio.TimerHandle | None = None
         try:
             self.socket.setblocking(False)
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             problem = self.socket.connect_ex(host.address)
             if problem not in (0, errno.EINPROGRESS):
                 raise OSError(problem, "connect")
+            pool.loop.add_writer(self.fd, self._came_up)
         except OSError:
-            self.socket.close()
+            close_socket(self.socket)
             raise
-        self.timer: asyncio.TimerHandle | None = pool.loop.call_later(
-            pool.connect_timeout / 1000, self._not_up, False
-        )
-        pool.loop.add_writer(self.fd, self._came_up)
+        self.timer = pool.loop.call_later(pool.connect_timeout / 1000, self._not_up, False)
 
     def _came_up(self) -> None:
         self.pool.loop.remove_writer(self.fd)
         if self.timer is not None:
             self.timer.cancel()
-        if self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            return self._not_up(True)
+        try:
+            if self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                return self._not_up(True)
+            self.pool.loop.add_reader(self.fd, self._readable)
+        except OSError:  # this machine's fault: it tells nothing of the backend
+            return self._not_up(False)
         self.up = True
         self.host.opening.discard(self)
-        self.pool.loop.add_reader(self.fd, self._readable)
         self.pool.release(self)
         self.pool.open_for(self.host)
 
@@ -184,10 +190,13 @@
             return
         if bool(self.unsent) != self.writing:
             self.writing = not self.writing
-            if self.writing:
-                self.pool.loop.add_writer(self.fd, self._flush)
-            else:
+            if not self.writing:
                 self.pool.loop.remove_writer(self.fd)
+                return
+            try:
+                self.pool.loop.add_writer(self.fd, self._flush)
+            except OSError:
+                self.end(Outcome.CONNECT)  # the rest could never leave
 
     def _next(self) -> bool:
         """Whether there is more to send now, beyond what has left."""
@@ -278,7 +287,10 @@
     def _resume(self) -> None:
         if self.paused and not self.closed:
             self.paused, self.moved_at = False, now_ms()
-            self.pool.loop.add_reader(self.fd, self._readable)
+            try:
+                self.pool.loop.add_reader(self.fd, self._readable)
+            except OSError:
+                return self.end(self.broken())  # the rest could never be read
             self.pool.loop.call_soon(self._take_rest)
 
     def _take_rest(self) -> None:
@@ -310,7 +322,7 @@
             self.timer.cancel()
         self.pool.loop.remove_reader(self.fd)
         self.pool.loop.remove_writer(self.fd)
-        self.socket.close()
+        close_socket(self.socket)
         self.host.opening.discard(self)
         self.host.settling.discard(self)
         self.pool.forget(self)
@@ -393,7 +405,7 @@
         self.held_zones: set[str] = set()  # likewise
         self.connections: set[Connection] = set()
         self.unopened: list[OSError] = []  # since the last sweep: one line tells of all
-        self.timers.at(now_ms() + SWEEP_MS, self.sweep)
+        self.timers.every(SWEEP_MS, "the sweep of backends", self.sweep)
 
     # ---- the list ----
 
@@ -476,8 +488,9 @@
             made = Connection(self, host)
         except OSError as error:
             self.unopened.append(error)
-            if self.budget.relieve(error):
-                self.wanting[host] = None
+            if self.budget.relieve(error) or error.errno in OF_THIS_MACHINE:
+                self.wanting[host] = None  # it tells nothing of the backend
+                self.timers.at(now_ms() + AGAIN_MS, self.serve)
             else:
                 attempt.end(Outcome.CONNECT)
             return
@@ -603,7 +616,6 @@
         if self.unopened:
             log.warning("%d connections not opened, the last: %s", len(self.unopened), self.unopened[-1])
             self.unopened.clear()
-        self.timers.at(now + SWEEP_MS, self.sweep)
 
     def close(self) -> None:
         self.wanting.clear()
--- a/roadpulley/bans.py
+++ b/roadpulley/bans.py
@@ -40,7 +40,8 @@
         self.out: dict[str, float] = {}  # by host: since when
         self.back: dict[str, float] = {}  # by host: when it was put back
         self.seen: tuple[int, int] | None = None  # which file was read last
-        self.look()
+        self._read()
+        timers.every(LOOK_MS, "the file of what is out by hand", self._read)
 
     def set(self, host: str, out: bool) -> None:
         """Take a host out or put it back; raises OSError if that can't be kept."""
@@ -79,12 +80,8 @@
             finally:
                 self._take(held, back)
 
-    def look(self) -> None:
-        """Follow what another process of this gateway may have written."""
-        self._read()
-        self.timers.at(now_ms() + LOOK_MS, self.look)
-
     def _read(self) -> None:
+        """Follow what another process of this gateway may have written."""
         try:
             found = self.path.stat()
             if (which := (found.st_ino, found.st_mtime_ns)) == self.seen:
--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -19,6 +19,7 @@
 from .clock import now_ms
 from .descriptors import Budget, Part
 from .figures import Evicted, Figures
+from .guard import Guard, Invariant
 from .resp import NOT_YET, Opened, ProtocolError, Reader, Value
 from .socket_state import has_unread_bytes, peer_has_closed
 from .streams import LONGEST, WHOLE, Body, Passing, Room
@@ -147,9 +148,12 @@
             self.connection.transport.close()
 
     def answer(self, reply: bytes) -> None:
+        """Give the final answer; a second one is not sent."""
         if not self.answered:
             self.answered, self.reply, self.request = True, reply, None
             self.connection.pump()
+        elif self.reply is not None or self.value is not None:
+            self.connection.server.guard.violated(Invariant.ONE_ANSWER, f"a second answer: {reply[:40]!r}")
 
 
 class Handler(Protocol):
@@ -176,6 +180,7 @@
         self.body_slot: Slot | None = None
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
+        self.lost = False  # it has ended, by either side
         self.slow = self.stopped = self.closing = self.pumping = self.unread = False
         self.peer = ""  # its address; connections are shared out among these
         self.proven = False  # it has sent a proper request
@@ -199,7 +204,7 @@
         self.server.opened(self)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.transport = None
+        self.transport, self.lost = None, True
         self.server.closed(self)
         self._abandon()
 
@@ -208,7 +213,9 @@
 
         While reading is paused a close would go unnoticed, and else until the event loop's next turn.
         """
-        if self.transport is None or not self._socket_is(peer_has_closed):
+        if self.lost or (self.transport is not None and self.transport.is_closing()):
+            return True
+        if self.transport is None or not self._socket_is(peer_has_closed, unknown=False):
             return False
         self.transport.abort()
         self._abandon()
@@ -217,10 +224,16 @@
     @property
     def has_unread_bytes(self) -> bool:
         """Whether something has come that this process has yet to read."""
-        return self._socket_is(has_unread_bytes)
+        return self._socket_is(has_unread_bytes, unknown=True)
 
-    def _socket_is(self, state: Callable[[int], bool]) -> bool:
-        sock = None if self.transport is None else self.transport.get_extra_info("socket")
+    def _socket_is(self, state: Callable[[int], bool], unknown: bool) -> bool:
+        """Ask the system for a state of the socket; `unknown` where it does not even give the socket."""
+        if self.transport is None:
+            return False
+        try:
+            sock = self.transport.get_extra_info("socket")
+        except OSError:
+            return unknown
         return sock is not None and sock.fileno() >= 0 and state(sock.fileno())
 
     def _discard(self, length: int) -> None:
@@ -229,10 +242,23 @@
         if self.discarded <= MOST_DISCARDED or self.transport is None:
             return
         if self.shut_at is not None:
-            self.transport.close()
+            self.close()
         else:
             self._throttle()
 
+    def close(self, at_once: bool = False) -> None:
+        """End this connection: the one place where this side does so between answers.
+
+        A request that is open here would be lost with it, so then it stays open. `at_once`: what is still to
+        be read there is given up as well.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return
+        if open_here := [slot.request for slot in self.slots if slot.request is not None]:
+            self.server.guard.violated(Invariant.NO_UNANSWERED_CLOSE, f"open: {', '.join(open_here)}")
+            return
+        (self.transport.abort if at_once else self.transport.close)()
+
     def shut(self) -> None:
         """Write what is due, end this side, and close once the peer has read that and closed as well.
 
@@ -242,7 +268,7 @@
         if self.transport is None or self.transport.is_closing() or self.shut_at is not None:
             return
         if not self.server.may_linger(self):
-            return self.transport.close()
+            return self.close()
         self.shut_at = time.monotonic()
         self.server.shut(self)
         self._throttle()
@@ -447,7 +473,7 @@
             self.server.evict(self, Evicted.UNREAD)
         elif self.shut_at is not None:
             if now - self.shut_at > LINGER_S and not self.transport.get_write_buffer_size():
-                self.transport.close()
+                self.close()
         elif self.closing or self.stopped:
             return  # its answers are due first, and it is read no further until then
         elif self._late(now):
@@ -541,8 +567,16 @@
     place is answered at once that it is harmless to come again.
     """
 
-    def __init__(self, handler: Handler, budget: Budget, room: Room, figures: Figures) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        budget: Budget,
+        room: Room,
+        figures: Figures,
+        guard: Guard | None = None,
+    ) -> None:
         self.handler, self.budget, self.room, self.figures = handler, budget, room, figures
+        self.guard = guard or Guard()
         self.buffer = memoryview(bytearray(READ_BYTES))  # what is read is taken before the next read
         self.connections: set[ClientConnection] = set()
         self.lingering: set[ClientConnection] = set()  # of these, shut on this side
@@ -612,13 +646,13 @@
             self.acceptor.resume()
 
     def sweep(self) -> None:
+        self.sweeping = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
         now = time.monotonic()
         for connection in list(self.connections):
-            connection.check(now)
+            self.guard.call("a client's connection", connection.check, now)
         # The budget may have shrunk: by SIGHUP, or by what the other process of an upgrade holds.
         self.make_room(self.live - self.most)
         self.budget.keep_spare()
-        self.sweeping = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
     def close(self) -> None:
         for handle in (self.sweeping, self.noticing):
@@ -684,8 +718,10 @@
         self.forget(connection)
         if reason in CLOSED_AT_ONCE or reason is Evicted.UNREAD:
             connection.closing = True
-            if connection.transport is not None:
-                (connection.transport.abort if reason is Evicted.UNREAD else connection.transport.close)()
+            if reason is not Evicted.UNREAD:
+                connection.close()
+            elif connection.transport is not None:
+                connection.transport.abort()  # it reads nothing: no answer can reach it, whatever is open
         else:
             connection.shut()
 
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -23,6 +23,7 @@
 from .descriptors import Part
 from .discovery import Member, host_number
 from .figures import Ended, Figures
+from .guard import Invariant
 from .streams import Passing, Room
 
 log = logging.getLogger(__name__)
@@ -101,6 +102,7 @@
         self.shares = FairShares(max_open)  # of requests open at once, among customers
         self.gateway, self.settings = Gateway(settings, seed), settings
         self.timers, self.backends, self.counter, self.max_open = timers, backends, counter, max_open
+        self.guard = timers.guard
         self.figures, self.room, self.tell = figures, room, tell
         self.keep: Callable[[int, list[Any]], None] = lambda serial, said: None  # of rows for the disk
         self.kinds = {kind.name: kind for kind in settings.classes}
@@ -115,7 +117,7 @@
         self.told_zones: dict[str, None] = {}  # zones likewise
         self.states: Callable[[], dict[str, int]] = dict  # of connections, for the report
         self.seen: Counts[str] = Counts()  # since the last report: what came, and what became of it
-        self.timers.at(now_ms() + REPORT_MS, self.report)
+        self.timers.every(REPORT_MS, "the report", self.report)
 
     def report(self) -> None:
         """Tell what became of the requests, the attempts and the calls to the counter, and why."""
@@ -124,7 +126,6 @@
             now = ", ".join(f"{what} {number}" for what, number in self.states().items() if number)
             log.info("last %d s: %s; now: %s", REPORT_MS / 1000, told, now)
             self.seen.clear()
-        self.timers.at(now_ms() + REPORT_MS, self.report)
 
     def gauges(self) -> dict[str, int]:
         """The live state that operators fetch with the counts."""
@@ -148,17 +149,25 @@
         self.busy = True
         try:
             while self.events:
-                event = self.events.popleft()
-                try:
-                    for action in self.gateway.handle(now_ms(), event):
-                        self.act(action)
-                except Exception:
-                    # One event's fault must not take the others with it.
-                    log.exception("%s could not be handled", type(event).__name__)
-                    self.abandon(event)
+                self.handle(self.events.popleft())
         finally:
             self.busy = False
 
+    def handle(self, event: api.Event) -> None:
+        """Give the module one event and carry out its actions; a fault of one takes no other along."""
+        try:
+            actions = self.gateway.handle(now_ms(), event)
+        except Exception:
+            self.guard.caught(type(event).__name__)
+            return self.abandon(event)
+        for action in actions:
+            try:
+                self.act(action)
+            except Exception:
+                self.guard.caught(type(action).__name__)
+                if isinstance(action, api.Send | api.Refuse | api.Fail):
+                    self.finish(action.request, FAILED, Ended.ABORTED)
+
     def recover(self, said: list[Any], at: float) -> bool:
         """Give the module a row of an earlier life; whether it could be taken."""
         try:
@@ -343,7 +352,16 @@
         self.give(api.AttemptEnded(request, number, attempt.backend, outcome, lag, finished, cost, spent))
 
     def hindrance(self, owner: Request, now: float) -> api.Outcome | None:
-        """Why an attempt that was decided on must not begin now, after its wait for a connection."""
+        """Why no byte of an attempt must leave now: the one guard of sending and of repeating.
+
+        It is asked at the first byte and, where not all leaves at once, before the last: what was decided on
+        may have been overtaken in its wait for a connection.
+        """
+        if self.requests.get(owner.command.id) is not owner or owner.begun is not None:
+            return api.Outcome.IGNORED  # it has its final answer
+        if owner.kind.effect is api.Effect.UNSAFE and owner.written:
+            self.guard.violated(Invariant.NO_UNSAFE_REPEAT, f"request {owner.command.id}")
+            return api.Outcome.IGNORED
         if now >= owner.repeat_until:  # what has run may by then run again
             return api.Outcome.IGNORED
         if owner.slot.connection.notice_departure():
--- /dev/null
+++ b/roadpulley/guard.py
@@ -0,0 +1,86 @@
+"""Keeps a fault where it arose, and counts what must never happen.
+
+One failed system call, one bad message or one defect may cost what it is about: a connection, a call, a
+request. It must not end the process, a periodic task or the work of others. Whatever the event loop calls by
+itself (timers, repeated work, background tasks) runs through a `Guard`; an error that still reaches the event
+loop is logged and counted there, and the loop goes on.
+
+The invariants are checked where the program acts, at run time. A violation is counted, logged with the
+request that it concerns, and kept from happening where that is possible.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter as Counts
+from collections.abc import Awaitable, Callable
+from enum import Enum
+from typing import Any
+
+log = logging.getLogger(__name__)
+
+RESTART_S = 0.1  # before a background task that failed is started again
+
+
+class Invariant(Enum):
+    """What holds at any moment, whatever the machine, the network or the other side does."""
+
+    ONE_ANSWER = "one_answer"  # a request gets one final answer
+    NO_UNANSWERED_CLOSE = "no_unanswered_close"  # this side ends no connection under an open request
+    NO_UNSAFE_REPEAT = "no_unsafe_repeat"  # what may not run twice is not sent again once it may have run
+    NO_ESCAPED_ERROR = "no_escaped_error"  # no error reaches the event loop or ends a task
+
+
+class Guard:
+    """Owns the counts of contained faults, by place, and of violated invariants."""
+
+    def __init__(self) -> None:
+        self.contained: Counts[str] = Counts()
+        self.violations: Counts[Invariant] = Counts()
+
+    def call(self, place: str, callback: Callable[..., object], *given: Any) -> bool:
+        """Call back; whether it went through. An error ends here."""
+        try:
+            callback(*given)
+        except Exception:
+            self.caught(place)
+            return False
+        return True
+
+    def caught(self, place: str) -> None:
+        """Count and log the exception that is being handled."""
+        self.contained[place] += 1
+        log.exception("%s could not be handled", place)
+
+    def violated(self, invariant: Invariant, concerns: str) -> None:
+        """Something was about to happen that must not; `concerns` names the request or connection."""
+        self.violations[invariant] += 1
+        log.error("invariant %s is violated: %s", invariant.value, concerns)
+
+    def on_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """The last resort of the event loop: an error that nobody has handled."""
+        error = context.get("exception")
+        if isinstance(error, OSError):
+            # The transports of the event loop report failed system calls of their connections here.
+            self.contained["event loop"] += 1
+            log.warning("%s: %s", context.get("message"), error)
+            return
+        self.violated(Invariant.NO_ESCAPED_ERROR, str(context.get("message")))
+        told = (type(error), error, error.__traceback__) if error is not None else None
+        log.error("in the event loop: %s", context.get("message"), exc_info=told)
+
+    async def supervise(self, place: str, work: Callable[[], Awaitable[object]]) -> None:
+        """Run work that is to go on for ever: after a fault it is started again."""
+        while True:
+            try:
+                await work()
+                return
+            except Exception:
+                self.caught(place)
+            await asyncio.sleep(RESTART_S)
+
+    def counts(self) -> dict[str, int]:
+        """For operators: each invariant with its violations, and all contained faults."""
+        counts = {f"invariant.{one.value}": self.violations[one] for one in Invariant}
+        return counts | {"faults.contained": self.contained.total()}
--- a/roadpulley/operators.py
+++ b/roadpulley/operators.py
@@ -5,12 +5,14 @@
 import asyncio
 import json
 import logging
+import math
+import socket
 from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple, cast
 
 import h11
 
-from .accept import Acceptor, listening
+from .accept import Acceptor, ListenError, listening, listening_in_time
 from .config import Address
 from .descriptors import Budget, Part
 
@@ -158,6 +160,7 @@
         self.calls, self.budget = calls, budget
         self.connections: dict[OperatorConnection, None] = {}  # the oldest first
         self.acceptor: Acceptor | None = None
+        self.later: asyncio.Task[None] | None = None  # until the address can be had
         self.answering: set[asyncio.Task[None]] = set()  # calls whose answers are waited for
 
     def answer_later(self, connection: OperatorConnection, said: Later) -> None:
@@ -170,9 +173,22 @@
         self.answering.add(task)
         task.add_done_callback(self.answering.discard)
 
-    def listen(self, address: Address) -> int:
-        """Start to accept; gives the port."""
-        made = listening(address, BACKLOG)
+    async def listen_soon(self, address: Address) -> None:
+        """Start to accept, at once where the machine lets it, else while the gateway serves already."""
+        try:
+            self.listen(listening(address, BACKLOG))
+        except OSError as error:
+            log.warning("operators can't call yet: %s", error)
+            self.later = asyncio.get_running_loop().create_task(self._listen_later(address))
+
+    async def _listen_later(self, address: Address) -> None:
+        try:
+            self.listen(await listening_in_time(address, BACKLOG, math.inf))
+        except ListenError as error:
+            log.error("operators can't call: %s", error)
+
+    def listen(self, made: socket.socket) -> int:
+        """Start to accept on a listening socket; gives the port."""
         self.budget.keep_spare()
         self.acceptor = Acceptor(made, lambda: OperatorConnection(self), self.budget, first=True)
         return self.acceptor.port
@@ -191,6 +207,8 @@
         self.connections.pop(connection, None)
 
     def close(self) -> None:
+        if self.later is not None:
+            self.later.cancel()
         if self.acceptor is not None:
             self.acceptor.close()
         for connection in list(self.connections):
--- /dev/null
+++ b/roadpulley/program.py
@@ -0,0 +1,140 @@
+"""One gateway as a program: reads its configuration, serves until it is told to end, and drains."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import signal
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import uvloop
+
+from .accept import ListenError
+from .config import Config, ConfigError, load_config
+from .discovery import DiscoveryError
+from .service import Service
+
+log = logging.getLogger("roadpulley")
+
+# The file may be half written, or no descriptor be left for it: at SIGHUP, the platform waits 4 s for its
+# news to be taken.
+CONFIG_TRIES, CONFIG_WAIT_S = 5, 0.2
+# A system call that fails for a moment must not end a start: the platform allows 30 s for one.
+START_WITHIN_S, START_AGAIN_S = 20.0, 0.1
+
+# Event loops that could not run. They can't be closed, and their descriptors must not be closed by the
+# collector once other parts of the program have the same numbers.
+broken_loops: list[asyncio.AbstractEventLoop] = []
+
+
+async def serve(
+    config: Config,
+    stop: asyncio.Event,
+    ready: Callable[[int], None] | None = None,
+    changes: asyncio.Queue[Config] | None = None,
+) -> None:
+    """Serve until `stop` is set, then drain. `ready` is told the port once clients may come."""
+    loop = asyncio.get_running_loop()
+    service = Service(config, stop)
+    loop.set_exception_handler(service.guard.on_loop_error)
+    await service.load()
+    watch = loop.create_task(service.guard.supervise("discovery", service.discovery.run))
+    taken = changes or asyncio.Queue[Config]()
+    following = loop.create_task(service.follow(taken))
+    port = await service.open()
+    if ready is not None:
+        ready(port)
+    await stop.wait()
+    try:
+        await service.drain()
+    finally:
+        watch.cancel()
+        following.cancel()
+        service.close()
+
+
+async def run(path: str, config: Config) -> None:
+    """Serve with a configuration, whose file is read again at each SIGHUP, until SIGTERM or SIGINT."""
+    stop, changes = asyncio.Event(), asyncio.Queue[Config]()
+    loop = asyncio.get_running_loop()
+
+    def reload(more_tries: int = CONFIG_TRIES - 1) -> None:
+        try:
+            changes.put_nowait(load_config(path))
+        except ConfigError as error:
+            if more_tries:
+                loop.call_later(CONFIG_WAIT_S, reload, more_tries - 1)
+            else:
+                log.warning("the changed configuration is not taken: %s", error)  # the old one still holds
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stop.set)
+    await serve(config, stop, changes=changes)
+
+
+def read_config(path: str) -> Config:
+    """The configuration at a start; raises ConfigError once it can't be had in several tries."""
+    for _ in range(CONFIG_TRIES - 1):
+        try:
+            return load_config(path)
+        except ConfigError:
+            time.sleep(CONFIG_WAIT_S)
+    return load_config(path)
+
+
+def run_in_loop(main: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run a program in an event loop; one whose descriptors can't be had for a moment is made again."""
+    until = time.monotonic() + START_WITHIN_S
+    begun = False
+
+    async def begin() -> None:
+        nonlocal begun
+        begun = True
+        await main()
+
+    while True:
+        runner = asyncio.Runner(loop_factory=working_loop)
+        try:
+            runner.get_loop()
+            return runner.run(begin())
+        except (OSError, RuntimeError) as error:  # the event loop raises the second over the first
+            if begun or time.monotonic() > until:
+                raise
+            log.warning("no event loop yet: %s", error)
+        finally:
+            with contextlib.suppress(OSError, RuntimeError):
+                runner.close()
+        time.sleep(START_AGAIN_S)
+
+
+def working_loop() -> asyncio.AbstractEventLoop:
+    """A new event loop that has run once; raises OSError or RuntimeError where it could not."""
+    loop = uvloop.new_event_loop()
+    done = loop.create_future()
+    done.set_result(None)
+    try:
+        loop.run_until_complete(done)
+    except (OSError, RuntimeError):
+        broken_loops.append(loop)
+        signal.set_wakeup_fd(-1)  # it may be a descriptor of the broken loop
+        raise
+    return loop
+
+
+def main(path: str) -> int:
+    """Serve with the configuration at `path`; gives the exit code."""
+    try:
+        config = read_config(path)
+        run_in_loop(lambda: run(path, config))
+    except (ConfigError, DiscoveryError) as error:
+        print(f"roadpulley: bad configuration: {error}", file=sys.stderr)
+        return 2
+    except (ListenError, OSError) as error:
+        print(f"roadpulley: this machine does not let it serve: {error}", file=sys.stderr)
+        return 1
+    return 0
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -17,7 +17,7 @@
 from mintford import interface as api
 from mintford.rules import PERIOD_MS
 
-from .accept import inherited, listening
+from .accept import inherited, listening_in_time
 from .backends import Backends
 from .bans import Bans, private_file
 from .beside import HOLDS, Beside
@@ -29,6 +29,7 @@
 from .discovery import Discovery, asks_apart, read_list
 from .driver import Driver
 from .figures import Ended, Figures
+from .guard import Guard
 from .operators import Calls, Later, OperatorServer, Said
 from .streams import Room
 
@@ -51,6 +52,7 @@
 LONGEST_DEADLINE_S, KILLED_AFTER_S = 3.0, 0.7
 LAST_ANSWERS_S = 0.3  # before SIGKILL could come: what is open then is ended, which would be lost by it
 CLOSING_S = 0.15  # for these answers to leave
+LISTEN_WITHIN_S = 25.0  # to get the clients' address: the platform allows 30 s for a start
 NEWS_S = 0.25  # for discovery's first word before clients are taken; it says nothing if nothing changed
 HOLDS_S = 0.05  # between two tellings of the descriptors that are held
 MOST_TOLD = 32  # backends, or zones, out by hand or just back that the other gateways are told of
@@ -73,7 +75,8 @@
     def __init__(self, config: Config, stop: asyncio.Event) -> None:
         self.config, self.loop = config, asyncio.get_running_loop()
         self.stop = stop  # set when this process shall end
-        self.timers = Timers(self.loop)
+        self.guard = Guard()
+        self.timers = Timers(self.loop, self.guard)
         self.figures = Figures([kind.name for kind in config.settings.classes])
         self.room = Room(config.memory)
         self.budget = Budget(config.sockets, config.shares, self.own(config))
@@ -122,7 +125,7 @@
             self.recovery = Recovery(config.state, config.name, self.driver, self.discovery, self.hands)
             if config.known:
                 self.recovery.keep_list(config.known)
-        self.clients = ClientServer(self.driver, self.budget, self.room, self.figures)
+        self.clients = ClientServer(self.driver, self.budget, self.room, self.figures, self.guard)
         self.operators = OperatorServer(self.calls(), self.budget)
         self.beside = Beside(
             private_file(config.name, "beside.sock"),
@@ -172,7 +175,8 @@
 
     def stats(self) -> Said:
         gauges = self.driver.gauges() | self.connections()
-        counts = self.recovery.counts() if self.recovery is not None else {}
+        counts = self.guard.counts()
+        counts |= self.recovery.counts() if self.recovery is not None else {}
         return Said(200, self.figures.text(gauges, self.driver.zones(), counts))
 
     def connections(self) -> dict[str, int]:
@@ -190,7 +194,7 @@
     def states(self) -> dict[str, int]:
         """For the log: the connections now, and what became of others since the start."""
         of_state = self.recovery.counts() if self.recovery is not None else {}
-        return self.connections() | self.figures.connections() | of_state
+        return self.connections() | self.figures.connections() | self.guard.counts() | of_state
 
     def fleet(self) -> Said:
         """The other gateways as this one knows them."""
@@ -352,10 +356,11 @@
         if self.recovery is not None:
             await self.recovery.restore(took_over, self.rejoin is None or not self.rejoin.verdict.old)
         if self.config.operator is not None:
-            self.operators.listen(self.config.operator)
+            await self.operators.listen_soon(self.config.operator)
         if self.rejoin is not None and not took_over:
             await self.rejoin.catch_up()
-        port = self.clients.listen(inherited() or listening(self.config.listen, BACKLOG))
+        listener = inherited() or await listening_in_time(self.config.listen, BACKLOG, LISTEN_WITHIN_S)
+        port = self.clients.listen(listener)
         gc.collect()
         gc.freeze()  # what was loaded stays: no pause to look at it again
         log.info("%s serves at %s:%d", self.config.name, self.config.listen[0], port)
@@ -576,19 +581,26 @@
         """Take over what may change while a gateway runs: addresses of discovery and counter, connections."""
         while True:
             config = await changes.get()
-            self.budget.configured, self.budget.shares = config.sockets, config.shares
-            if config.settings.regions != self.config.settings.regions:
-                self.driver.give(api.RegionsChanged(config.settings.regions))
-            moved = config.line != self.config.line
-            self.config = config
-            self.note_config("SIGHUP")
-            self.budget.own = self.own(config)
-            if moved:
-                self.part(leave=True)
-                await self.join()
-            self.discovery.move(config.discovery)
-            if self.counter is not None and config.counter is not None:
-                self.counter.move(config.counter)
+            try:
+                await self.change(config)
+            except Exception:
+                self.guard.caught("a new configuration")
+
+    async def change(self, config: Config) -> None:
+        """Act on a new configuration."""
+        self.budget.configured, self.budget.shares = config.sockets, config.shares
+        if config.settings.regions != self.config.settings.regions:
+            self.driver.give(api.RegionsChanged(config.settings.regions))
+        moved = config.line != self.config.line
+        self.config = config
+        self.note_config("SIGHUP")
+        self.budget.own = self.own(config)
+        if moved:
+            self.part(leave=True)
+            await self.join()
+        self.discovery.move(config.discovery)
+        if self.counter is not None and config.counter is not None:
+            self.counter.move(config.counter)
 
     async def drain(self) -> None:
         """The last drain: nothing is accepted any more once the front has noticed, and what is open ends."""
--- a/roadpulley/socket_state.py
+++ b/roadpulley/socket_state.py
@@ -6,6 +6,7 @@
 
 
 def _pending(fd: int, events: int) -> int:
+    """The events that are pending; raises OSError where the system can't say."""
     poller = select.poll()
     poller.register(fd, events)
     ready = poller.poll(0)
@@ -13,11 +14,23 @@
 
 
 def peer_has_closed(fd: int) -> bool:
-    """Whether the peer has closed its side or reset the connection, be it behind unread bytes."""
+    """Whether the peer has closed its side or reset the connection, be it behind unread bytes.
+
+    Where the system can't say, it is not known to have.
+    """
     ended = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-    return bool(_pending(fd, select.POLLRDHUP) & ended)
+    try:
+        return bool(_pending(fd, select.POLLRDHUP) & ended)
+    except OSError:
+        return False
 
 
 def has_unread_bytes(fd: int) -> bool:
-    """Whether a read would give something: bytes, or the end of the stream."""
-    return bool(_pending(fd, select.POLLIN))
+    """Whether a read would give something: bytes, or the end of the stream.
+
+    Where the system can't say, it might: a close over unread bytes would lose them.
+    """
+    try:
+        return bool(_pending(fd, select.POLLIN))
+    except OSError:
+        return True
