--- a/fleetlab/__main__.py
+++ b/fleetlab/__main__.py
@@ -17,6 +17,7 @@
 from rich.table import Table
 
 from . import scenario as given
+from . import soak as soaks
 from .addresses import AddressError
 from .judge import Breach
 from .play import BAD, VOID, PlayError, Result, play
@@ -139,6 +140,32 @@
     console.print(table)
 
 
+@cli.command("soak")
+@click.option("--first", type=int, default=1, show_default=True, help="The first seed.")
+@click.option("--seeds", type=click.IntRange(1, 1_000), default=5, show_default=True, help="How many.")
+@click.option("--gateways", type=click.IntRange(2, 40), default=12, show_default=True)
+@click.option("--kind", "kinds", multiple=True, type=click.Choice(list(soaks.KINDS)), help="Default: all.")
+@click.option("--out", type=click.Path(path_type=Path, file_okay=False), required=True)
+def soak_(first: int, seeds: int, gateways: int, kinds: tuple[str, ...], out: Path) -> None:
+    """Play faults of all kinds, drawn from seeds, that overlap in time; exits 1 if a rule is broken."""
+    worst = 0
+    try:
+        chosen = list(kinds) or list(soaks.KINDS)
+        for result in soaks.soak(list(range(first, first + seeds)), gateways, chosen, out):
+            worst = max(worst, result.verdict)
+            offered, served = result.figures.get("offered", 0), result.figures.get("served share", 0.0)
+            click.echo(
+                f"{result.scenario}: verdict {result.verdict}, offered {offered:g}, served {served:.2f}"
+            )
+            for line in result.why:
+                click.echo(f"  {line}")
+            for one in result.breaches[:MOST_LINES]:
+                click.echo(f"    {Breach(**one).line()}")
+    except (PlayError, given.ScenarioError, AddressError, RecordError, OSError) as error:
+        return fail(error)
+    sys.exit(worst)
+
+
 @cli.command()
 @click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
 @click.option("--out", type=click.Path(path_type=Path), help="The page; by default report.html in FOLDER.")
--- a/fleetlab/alone.py
+++ b/fleetlab/alone.py
@@ -10,8 +10,8 @@
 
 import uvloop
 
-from roadpulley.__main__ import serve
 from roadpulley.config import parse_config
+from roadpulley.program import serve
 
 from .agents import Discovery, host
 from .backends import Backend
--- a/fleetlab/launch.py
+++ b/fleetlab/launch.py
@@ -1,16 +1,14 @@
-"""Starts a gateway whose wall clock is off, or whose program is altered to break a rule.
+"""Starts a gateway whose program is altered to break a rule.
 
-    python -m fleetlab.launch --clock=SECONDS [ALTERATION ...]
+    python -m fleetlab.launch [ALTERATION ...]
 
-The program reads the wall clock with `time.time`, once at its start and, for its state, at its times; this
-shifts all these readings. An alteration breaks one rule on purpose, so that the judge can be seen to find it.
-Gateways with neither are started as the deploy file says, without this.
+An alteration breaks one rule on purpose, so that the judge can be seen to find it. Other gateways are started
+as the deploy file says, without this.
 """
 
 from __future__ import annotations
 
 import sys
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -24,11 +22,6 @@
     return before
 
 
-def shift(seconds: float) -> None:
-    real = time.time
-    time.time = lambda: real() + seconds
-
-
 def lose() -> None:
     """It ends every tenth connection in place of an answer."""
     from roadpulley import driver
@@ -136,7 +129,7 @@
     """It does not hear SIGTERM."""
     import asyncio
 
-    from roadpulley import __main__ as program
+    from roadpulley import program
 
     async def serve(config: Any, stop: Any, ready: Any = None, changes: Any = None) -> None:
         await before(config, asyncio.Event(), ready, changes)
@@ -171,14 +164,11 @@
 
 
 def main() -> int:
-    for word in sys.argv[1:]:
-        if word.startswith("--clock="):
-            shift(float(word.removeprefix("--clock=")))
     from roadpulley import __main__ as program
 
     for word in sys.argv[1:]:
-        if not word.startswith("--"):
-            ALTERATIONS[word]()
+        ALTERATIONS[word]()
+    del sys.argv[1:]
     return program.main()
 
 
--- a/fleetlab/processes.py
+++ b/fleetlab/processes.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from .addresses import LINE, LISTEN, NEXT, OPERATOR, Net
+from .machine import MachineFaults, environment
 from .records import Records
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -50,6 +51,9 @@
         self.config: Callable[[], dict[str, Any]] = dict
         self.alterations: list[str] = []
         self.clock_s = 0.0
+        self.has_faulty_machine = False  # what is wrong with it is told by the control file
+        self.machine_faults: dict[int, MachineFaults] = {}  # by the number of the scenario's fault
+        self.seed = 0
         self.process: asyncio.subprocess.Process | None = None
         self.life = 0
         self.expected = False  # the end of this life
@@ -76,6 +80,18 @@
         whole.write_text(json.dumps(given) if text is None else text)
         whole.rename(self.folder / "config.json")
 
+    def write_machine_faults(self) -> None:
+        """Put in force what is wrong with the machine now, for the processes that run and those to come."""
+        now = list(self.machine_faults.values())
+        MachineFaults(
+            self.seed,
+            [call for faults in now for call in faults.calls],
+            self.state,
+            self.clock_s,
+            max((faults.short_chance for faults in now), default=0.0),
+            self.folder / "failed-calls",
+        ).write(self.folder / "machine-faults")
+
     async def start(self) -> None:
         """Start the next life; raises OSError if no process can be had."""
         self.life += 1
@@ -114,8 +130,11 @@
             given["LB_INHERITED_FD"] = str(self.held.fileno())
             given["LB_OPERATOR"] = "{}:{}".format(*self.operator)
         command: tuple[str, ...] = RUN
-        if self.alterations or self.clock_s:
-            command = (*ALTERED, f"--clock={self.clock_s}", *self.alterations)
+        if self.has_faulty_machine:
+            self.write_machine_faults()
+            given |= environment(self.folder / "machine-faults")
+        if self.alterations:
+            command = (*ALTERED, *self.alterations)
         kept = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
         with (self.folder / f"life-{self.life}.log").open("wb") as log:
             process = await asyncio.create_subprocess_exec(
--- a/fleetlab/scenario.py
+++ b/fleetlab/scenario.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import hashlib
 import tomllib
 from pathlib import Path
@@ -15,6 +16,7 @@
 import numpy as np
 
 from . import settings
+from .machine import DISK_ERRORS, LOOP_ERRORS, SOCKET_ERRORS, MachineFaults, failing
 
 FOLDER = Path(__file__).parent / "scenarios"
 MOST_GATEWAYS, MOST_BACKENDS, MOST_RATE, MOST_S = 400, 400, 2_000.0, 3_600.0
@@ -133,12 +135,40 @@
 
 
 class Clock(Fault, tag="clock"):
-    """Steps the wall clock that a gateway reads at its next start (see fleetlab/launch.py)."""
+    """Steps the wall clock of gateways, of the process that runs and of those after it."""
 
     gateways: Names
     step_s: Annotated[float, msgspec.Meta(ge=-1e6, le=1e6)]
 
 
+class Calls(Fault, tag="calls"):
+    """System calls of gateways fail by chance, and some reads and writes move one byte alone."""
+
+    gateways: Names
+    for_s: Second
+    chance: Part
+    errors: dict[str, list[str]] = {}  # by call; none: all that fleetlab/machine.py lists
+    short: Part = 0.0
+    from_start: bool = False  # it strikes also before the load begins
+
+    def machine_faults(self) -> MachineFaults:
+        errors = {call: tuple(names) for call, names in self.errors.items()} or SOCKET_ERRORS
+        return MachineFaults(calls=failing(errors, self.chance), short_chance=self.short)
+
+
+class DiskFails(Fault, tag="disk"):
+    """Calls on files in the folder of the state fail by chance."""
+
+    gateways: Names
+    for_s: Second
+    chance: Part
+    errors: dict[str, list[str]] = {}  # likewise
+
+    def machine_faults(self) -> MachineFaults:
+        errors = {call: tuple(names) for call, names in self.errors.items()} or DISK_ERRORS
+        return MachineFaults(calls=failing(errors, self.chance, on_disk=True))
+
+
 class Power(Fault, tag="power"):
     """Gateways and backends lose power: killed at once, $TMPDIR emptied, state folders as `disks` says."""
 
@@ -225,6 +255,8 @@
     | Stop
     | Hup
     | Clock
+    | Calls
+    | DiskFails
     | Power
     | Link
     | BackendDoes
@@ -294,6 +326,13 @@
         does = (fault for fault in self.faults if isinstance(fault, BackendDoes))
         return power + [fault.backends for fault in does if fault.what == "gone"]
 
+    @property
+    def on_faulty_machines(self) -> set[str]:
+        """The gateways whose system calls, disks or clocks go wrong in the play."""
+        kinds = (Clock, Calls, DiskFails)
+        named = (self.pick("gateways", one.gateways) for one in self.faults if isinstance(one, kinds))
+        return {name for names in named for name in names}
+
     @property
     def upgraded(self) -> set[str]:
         """The gateways of which a new process takes over in the play."""
@@ -388,6 +427,13 @@
             raise ScenarioError(f"old_from_s: expected at most {at}, got {fault.old_from_s:g}")
         if fault.disks and not scenario.fleet.state:
             raise ScenarioError("disks: expected fleet.state = true")
+    if isinstance(fault, Calls | DiskFails):
+        all_ = DISK_ERRORS if isinstance(fault, DiskFails) else SOCKET_ERRORS | LOOP_ERRORS
+        for call, names in fault.errors.items():
+            if call not in all_:
+                raise ScenarioError(f"errors: expected a call of {', '.join(all_)}, got {call!r}")
+            if unknown := [name for name in names if not hasattr(errno, name)]:
+                raise ScenarioError(f"errors.{call}: expected names of errors, got {unknown[0]!r}")
     if isinstance(fault, Operators):
         if fault.call.startswith("backends/") and fault.id not in scenario.backend_names:
             raise ScenarioError(f"id: expected a backend's name, got {fault.id!r}")
--- a/fleetlab/stage.py
+++ b/fleetlab/stage.py
@@ -52,6 +52,12 @@
             made = Gateway(name, index, scenario.zone_of(index), out, self.net, records)
             made.alterations = scenario.fleet.altered.get(name, [])
             made.clock_s = scenario.fleet.clock_s.get(name, 0.0)
+            made.has_faulty_machine = name in scenario.on_faulty_machines or bool(made.clock_s)
+            made.seed = seed
+            for number, fault in enumerate(scenario.faults):
+                if isinstance(fault, given.Calls) and fault.from_start:
+                    if name in scenario.pick("gateways", fault.gateways):
+                        made.machine_faults[number] = fault.machine_faults()
             if name in upgraded:
                 made.held = socket.create_server(made.listen, backlog=BACKLOG)
             self.gateways[name] = made
