State on disk: the last commit stands through a failing disk, and is kept again a second after it works

After one failed write nothing was kept for 60 s (the issue: for the rest of the process's life), the file was set aside, so the next life found no earlier one, and an operator's call was answered yes while nothing could keep it: a kill and an empty TMPDIR then lost a ban that had been committed long before. Ruled out: distrust of what was committed before the failed write; SQLite's log takes no frame of a failed commit. Change: a file whose write failed is not written again and stays where it is; a new file is made beside it (its rename is undone by the next start until the new one has a commit) and begun only once the folder lets it be opened; tried each second; the gap is logged and shown (state.off_ms); calls are answered 503 while the folder fails.

--- a/roadpulley/recovery.py
+++ b/roadpulley/recovery.py
@@ -21,7 +21,7 @@
 
 LOAD_S = 1.0  # for the files to be read, and again for the first commit: then the gateway starts without
 HAND_S = 0.8  # for an operator's call to be committed: its answer is due within 1 s
-AGAIN_S = 60.0  # after a fault, until a new file is begun
+AGAIN_S = 1.0  # after a fault, until a new file is tried
 MOST_HOSTS = 4_096  # of a list that are kept
 ACT, MOST_ACTS = "zone-act", 256  # kind of rows: the fleet's decisions on zones
 ACT_PARTS, ACT_MS = 6, 86_400_000.0  # of one; it ends after a day, as on the line
@@ -52,9 +52,12 @@
         self.acts: dict[str, list[Any]] = {}  # the fleet's decisions on zones, as they are kept
         self.partial = False  # some of it is not kept: until the next whole list, this one is of no use
         self.again: asyncio.TimerHandle | None = None
+        self.trying: Store | None = None  # a new file that is being made, after a fault
         self.ready = asyncio.Event()  # the first commit of this life has come, or never will
         self.held = False  # another process has them
         self.served = False  # a second gateway of a folder never has it; this one had it, or will
+        self.off_since: float | None = None  # by the monotonic clock: nothing is kept since then
+        self.off_s = 0.0  # for so long nothing was kept, in all gaps that are over
         self.failures = self.restored = self.dropped = self.commits = 0
         self.restore_ms = 0
         driver.keep, discovery.keep = self.keep, self.keep_list
@@ -193,10 +196,16 @@
 
     def on_kept(self, serial: int) -> None:
         self.ready.set()
+        if self.off_since is not None:
+            gap_s, self.off_since = time.monotonic() - self.off_since, None
+            self.off_s += gap_s
+            log.warning("state is kept again, after %.1f s in which it was not", gap_s)
         self.driver.give(api.Kept(serial))
 
     def on_failed(self, reason: str) -> None:
         self.retire()
+        if self.off_since is None:
+            self.off_since = time.monotonic()
         self.held = reason == HELD
         self.failures += not self.held
         self.ready.set()
@@ -205,11 +214,22 @@
             self.again = self.loop.call_later(AGAIN_S, self.start_anew)
 
     def start_anew(self) -> None:
+        """Try a new file; all there is goes into it once the folder lets it be made."""
         self.again = None
-        log.info("state on disk is begun anew")
-        self.begin(self.make(fresh=True))
+        self.trying = store = self.make(fresh=True)
+
+        def opened(found: asyncio.Future[Found]) -> None:
+            self.trying = None
+            if not found.cancelled() and not store.over:
+                log.info("state on disk is begun anew")
+                self.begin(store)
+
+        store.found.add_done_callback(opened)
 
     def retire(self) -> None:
+        if self.trying is not None:
+            self.trying.close()
+            self.trying = None
         if self.store is not None:
             self.commits += self.store.commits
             self.store = None
@@ -262,7 +282,7 @@
     async def commit_hand(self, kind: str, name: str, out: bool) -> bool:
         """Whether an operator's word is on disk; if not, it is taken back there."""
         if self.store is None:
-            return True  # it is off: the file in $TMPDIR is all there is
+            return self.held  # another process has the files; a folder that fails keeps no word
         try:
             async with asyncio.timeout(HAND_S):
                 return await self.store.committed(self.keep_hand(kind, name, out, now_ms()))
@@ -283,17 +303,19 @@
             self.again = None
         if self.store is not None:
             self.store.close()
-            self.retire()
+        self.retire()
         self.driver.give(api.KeepingTurned(False))
 
     def take_files(self) -> None:
         """The other process lets go of the files, or is gone."""
-        if self.store is None and self.again is None:
+        if self.store is None and self.again is None and self.trying is None:
             self.begin(self.make(wait=LOCK_S))
 
     def close(self) -> None:
         if self.again is not None:
             self.again.cancel()
+        if self.trying is not None:
+            self.trying.close()
         if self.store is not None:
             store = self.store
             self.driver.give(api.KeepingTurned(False, last=True))
@@ -305,7 +327,9 @@
     def gauges(self) -> dict[str, int]:
         on = self.store is not None
         age = (time.monotonic() - self.store.committed_at) * 1000 if self.store is not None else 0
-        return {"state.on": int(on), "state.age_ms": round(age), "state.restore_ms": self.restore_ms}
+        off_s = self.off_s + (time.monotonic() - self.off_since if self.off_since is not None else 0.0)
+        gauges = {"state.on": int(on), "state.age_ms": round(age), "state.restore_ms": self.restore_ms}
+        return gauges | {"state.off_ms": round(off_s * 1000)}
 
     def counts(self) -> dict[str, int]:
         commits = self.commits + (self.store.commits if self.store is not None else 0)
--- a/roadpulley/store.py
+++ b/roadpulley/store.py
@@ -20,6 +20,7 @@
 
 SCHEMA = 1
 FILE, LOCK, ASIDE = "state.db", "state.lock", "aside-%d.db"
+PREVIOUS = "previous.db"  # the file before this one, until the first commit of this one
 MOST_ASIDE = 3  # sets of files that were set aside; a further one replaces the oldest
 LARGEST_FILE = 64 * 1024 * 1024  # bytes: some ten times what all rows at their bound take
 LONGEST_ROW, MOST_ROWS = 16 * 1024, 16_384  # characters; of all kinds
@@ -30,7 +31,8 @@
 PATIENCE_S = 1.5  # for a commit: a slower disk is no use, and the module reckons with twice as long
 LOCK_S, LOCK_TRY_S = 1.0, 0.02  # for the other process of an upgrade to let go of the files
 MOST_STARTS = 9  # that are remembered
-SUFFIXES = ("-wal", "-shm", "-journal")
+WAL = "-wal"
+SUFFIXES = (WAL, "-shm", "-journal")
 TABLE = "CREATE TABLE rows (kind TEXT, name TEXT, at REAL, body TEXT, sum BLOB, PRIMARY KEY (kind, name))"
 PUT = "INSERT OR REPLACE INTO rows VALUES (?, ?, ?, ?, ?)"
 META = "meta", "gateway"
@@ -47,6 +49,10 @@
     """Another process holds them."""
 
 
+class Abandoned(StateError):
+    """The event loop has given up on a disk that lags."""
+
+
 class Row(NamedTuple):
     kind: str
     name: str
@@ -101,12 +107,16 @@
                 time.sleep(LOCK_TRY_S)
 
     def open(self, fresh: bool) -> Found:
-        """Read what an earlier life has left, or begin with an empty file; nothing is written yet."""
+        """Read what an earlier life has left, or begin with an empty file; nothing is written yet.
+
+        `fresh`: this life's own file failed. Its last commit stands until the first one of the new file.
+        """
         found = Found([], 0.0, (), 0)
+        self.take_back_previous()
+        if fresh and self.path.exists():
+            self.set_back()
         if self.path.exists():
             try:
-                if fresh:
-                    raise StateError("a new file is begun")
                 found = self.read()
             except (sqlite3.Error, StateError, ValueError, TypeError, KeyError, RecursionError) as error:
                 log.warning("the state on disk is set aside: %s", " ".join(str(error).split()))
@@ -118,6 +128,43 @@
         self.inode = self.path.stat().st_ino
         return found
 
+    def set_back(self) -> None:
+        """Let a new file begin beside this one. A kill between any two steps is undone by the next start."""
+        self.remove(PREVIOUS)
+        if self.path.with_name(FILE + WAL).exists():
+            self.path.with_name(FILE + WAL).rename(self.path.with_name(PREVIOUS + WAL))
+        self.path.rename(self.path.with_name(PREVIOUS))
+        self.sync_folder()
+
+    def take_back_previous(self) -> None:
+        """Undo `set_back`, unless the new file has a commit: then the previous one is of no use any more."""
+        previous = self.path.with_name(PREVIOUS)
+        if previous.exists():
+            if self.is_committed():
+                return self.remove(PREVIOUS)
+            self.remove(FILE)
+            previous.rename(self.path)
+        if self.path.exists() and previous.with_name(PREVIOUS + WAL).exists():
+            previous.with_name(PREVIOUS + WAL).rename(self.path.with_name(FILE + WAL))
+            self.sync_folder()
+
+    def is_committed(self) -> bool:
+        """Whether the file holds a commit of a gateway."""
+        if not self.path.exists():
+            return False
+        try:
+            meta = self.connect().execute("SELECT at FROM rows WHERE kind=? AND name=?", META).fetchone()
+            return meta is not None
+        except sqlite3.Error:
+            return False
+        finally:
+            self.close_database()
+
+    def remove(self, name: str) -> None:
+        """Take a database away, the file itself first: its log alone is not taken for one."""
+        for suffix in ("", *SUFFIXES):
+            self.path.with_name(name + suffix).unlink(missing_ok=True)
+
     def connect(self) -> sqlite3.Connection:
         made = sqlite3.connect(self.path, timeout=1.0, isolation_level=None, check_same_thread=False)
         self.database = made
@@ -207,6 +254,8 @@
         run.executemany("DELETE FROM rows WHERE kind=? AND name=?", gone)
         run.executemany(PUT, [(*row, checksum(self.gateway, *row)) for row in written])
         run.execute("COMMIT")
+        if whole:
+            self.remove(PREVIOUS)
 
     def close_database(self) -> None:
         if self.database is not None:
@@ -387,7 +436,7 @@
             with self.changed:
                 self.changed.wait_for(lambda: self.closing or (self.begun and self.pending), BEAT_S)
                 if self.abandoned:
-                    raise StateError("abandoned")
+                    raise Abandoned("abandoned")
                 if self.closing and not (self.begun and self.pending):
                     return
                 if not self.begun:
@@ -402,8 +451,13 @@
             time.sleep(APART_S)
 
     def _give_up(self, error: Exception) -> None:
-        """A file whose write failed is never trusted again, whatever a second try would say."""
-        if self.files.lock >= 0 and not isinstance(error, Held):
+        """A file whose write failed is not written again, whatever a second try would say.
+
+        Its last commit stands: a next start takes it up, unless this life has begun a new file by then. A
+        file that is not sound, or not this gateway's, is set aside.
+        """
+        failed_write = isinstance(error, sqlite3.OperationalError | OSError | Abandoned)
+        if self.files.lock >= 0 and not failed_write and not isinstance(error, Held):
             try:
                 self.files.set_aside()
             except OSError as other:
