Starts of backends are held against the monotonic clock, not against a wall clock that may be wrong

A backend's start is told by another machine's wall clock. With the clock here an hour ahead a backend that had just restarted looked warm; with it behind, or with a put-back from a clock ahead, its warmth was negative. An upgrade's hand-over from a clock ahead took time off every bucket. Found beside it by the soak: SIGHUP before the event loop hears it ended a start, and two overlapping faults of the lab started a gateway twice. Ruled out: steps under a live process: it reads the wall clock once. Change: a start begins no later than now and no earlier than the list that lacked it was known to hold (an empty line of the watch says so); what is put back counts from when it was seen to be out; times from the process before are never to come; SIGHUP is kept for the event loop from the first line on.

--- a/fleetlab/faults.py
+++ b/fleetlab/faults.py
@@ -69,7 +69,8 @@
 
     async def bring_back(self, gateways: list[Gateway], spacing_s: float) -> None:
         for gateway in gateways:
-            await self.stage.start_gateway(gateway)
+            if not gateway.runs:  # another fault may have brought it back
+                await self.stage.start_gateway(gateway)
             await asyncio.sleep(spacing_s)
 
     async def kill(self, number: int, fault: given.Kill) -> None:
--- a/mintford/customers.py
+++ b/mintford/customers.py
@@ -54,6 +54,12 @@
         # and its last reading of the period before (below 0: none). It waits for how that one ended.
         self.begun = 0.0, 0.0, 0.0, -1.0
 
+    def by_clock(self, now: float) -> None:
+        """It is told by another process, whose clock may be ahead of this one's: no time of it is to come."""
+        self.filled_at, self.read_at = min(self.filled_at, now), min(self.read_at, now)
+        self.lease_end = min(self.lease_end, now + LEASE_MS)
+        self.fresh_until = min(self.fresh_until, now + LEASE_MS)
+
     def state(self, reserved: float = 0.0) -> list[Any]:
         """As it is told to another process or kept on disk, there with a part that counts as spent."""
         less = {"tokens": -reserved, "ceiling": -reserved, "store": -reserved, "spent": reserved}
--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
@@ -119,8 +120,15 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendsChanged:
+    """The list, or what has changed of it.
+
+    `held_until`: the time until which the list before this one was known to hold. It is of this gateway's
+    monotonic clock, as `now` is; the starts of backends are told by other machines' wall clocks.
+    """
+
     scope: ListScope
     entries: tuple[BackendEntry, ...]
+    held_until: float = field(default=-math.inf, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -57,6 +57,7 @@
         self.id, self.out, self.started, self.rules = entry.backend, 0, -1.0, rules
         self.returned, self.owed_at = 0.0, math.inf  # put back by operators; a request is owed to it
         self.guessed = False  # that it came back then is only a guess
+        self.begun = 0.0  # when its process began at the earliest, by this gateway's clock; 0: long ago
         self.update(entry)
 
     def update(self, entry: api.BackendEntry) -> None:
@@ -66,12 +67,21 @@
         self.zone, self.cell, self.started = entry.zone, entry.cell, entry.started
         self.ready = entry.state is api.BackendState.READY
 
-    def put_back(self, since: float, guessed: bool = False) -> None:
+    def begins(self, now: float, held_until: float) -> None:
+        """Its process is new to the list.
+
+        Its start is told by another machine's wall clock, and this one's may be wrong: the process began no
+        later than now, and no earlier than a list that lacked it was still known to hold.
+        """
+        self.begun = min(now, max(self.started, held_until)) if self.started > 0 else 0.0
+
+    def put_back(self, now: float, since: float, guessed: bool = False) -> None:
+        since = min(since, now)  # it may be told by a clock that is ahead
         self.returned, self.owed_at, self.marks, self.guessed = since, since + OWED_MS, {}, guessed
 
     def warmth(self, now: float) -> float:
         """The least part of its capacity that it surely has."""
-        begun = max(self.started, self.returned)  # operators restart what they take out
+        begun = max(self.begun, self.returned)  # operators restart what they take out
         age = (now - begun) / max(1.0, self.rules.warm_within) if begun > 0 else 1.0
         return min(1.0, self.rules.start_capacity + (1 - self.rules.start_capacity) * age)
 
@@ -172,7 +182,7 @@
         if now > c.lease_end or self.lags:
             # A lease unheard, or a gateway that acts on what is old: the safe capacity is the even share.
             c.part, c.top, c.heard = c.even, c.even, False
-        passed, c.filled_at = (now - c.filled_at) / 1000, now
+        passed, c.filled_at = max(0.0, now - c.filled_at) / 1000, now
         # Danger: a part of a ceiling by wants of long ago is spent by others meanwhile. It fades as wants do.
         least = c.even * (EVENLY if c.heard else 1.0)
         c.top = least + (c.top - least) * math.exp(-passed * 1000 / WANTS_MS)
@@ -386,7 +396,8 @@
                 self.keeping.spent(now, c, units, out)
                 c.unsaid, c.elsewhere = c.unsaid + asked, max(0, c.elsewhere + int(away))
             case said:
-                self.take(now, said)
+                if told := self.take(now, said):
+                    told.by_clock(now)
 
     # ---- the disk ----
 
@@ -446,18 +457,25 @@
             listed = {e.backend for e in event.entries}
             self.backends = {i: b for i, b in self.backends.items() if i in listed}
         for entry in event.entries:
-            if entry.state is api.BackendState.GONE:
-                self.backends.pop(entry.backend, None)
-            elif b := self.backends.get(entry.backend):
-                if entry.started != b.started:
-                    self.zones.forget(b.id, b.zone)
-                b.update(entry)
-            else:
-                b = self.backends[entry.backend] = Backend(entry, self.settings.rules)
-                if entry.backend in self.returned:
-                    b.put_back(self.returned[entry.backend])
+            self.on_entry(now, entry, event.held_until)
         self.regroup(now)
 
+    def on_entry(self, now: float, entry: api.BackendEntry, held_until: float) -> None:
+        if entry.state is api.BackendState.GONE:
+            self.backends.pop(entry.backend, None)
+        elif b := self.backends.get(entry.backend):
+            restarted = entry.started != b.started
+            if restarted:
+                self.zones.forget(b.id, b.zone)
+            b.update(entry)
+            if restarted:
+                b.begins(now, held_until)
+        else:
+            b = self.backends[entry.backend] = Backend(entry, self.settings.rules)
+            b.begins(now, held_until)
+            if entry.backend in self.returned:
+                b.put_back(now, self.returned[entry.backend])
+
     def on_held(self, now: float, event: api.BackendHeld, _: api.Actions) -> None:
         """Operators' word goes before the list's, and lasts until they take it back."""
         warm_at = now - self.settings.rules.warm_within
@@ -469,7 +487,7 @@
             self.held.discard(event.backend)
             self.returned[event.backend] = event.since
             if b := self.backends.get(event.backend):
-                b.put_back(event.since)
+                b.put_back(now, event.since)
         self.regroup(now)
 
     def on_zone_held(self, now: float, event: api.ZoneHeld, _: api.Actions) -> None:
@@ -478,7 +496,7 @@
         for b in self.backends.values():
             if b.zone == event.zone and not event.out:
                 self.returned[b.id] = event.since
-                b.put_back(event.since)
+                b.put_back(now, event.since)
         self.regroup(now)
 
     def on_outage(self, now: float, event: api.Outage, _: api.Actions) -> None:
@@ -486,7 +504,7 @@
         self.back.begin(now, event.back + self.settings.rules.warm_within)
         for b in self.backends.values():
             if b.started < event.since:
-                b.put_back(event.back, guessed=True)
+                b.put_back(now, event.back, guessed=True)
         self.keeping.take_turns(now, self.customers.values())
 
     def on_peer_told(self, now: float, event: api.PeerTold, _: api.Actions) -> None:
--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -4,6 +4,7 @@
 
 import importlib
 import os
+import signal
 import sys
 import time
 from types import ModuleType
@@ -35,6 +36,7 @@
     if not path:
         print(f"roadpulley: LB_CONFIG is not set\n\n{USAGE}", file=sys.stderr)
         return 2
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # there is no configuration to read again yet
     load(".logs").start()
     return int(load(".program").main(path))
 
--- a/roadpulley/bans.py
+++ b/roadpulley/bans.py
@@ -105,7 +105,7 @@
             if host not in before:
                 self.changed(host, True, at)
         for host in before.keys() - held.keys():
-            self.changed(host, False, back.get(host, now_ms()))
+            self.changed(host, False, now_ms())  # it was out at the last look, whatever a clock says
         for host in back.keys() - returned.keys() - before.keys():
             self.changed(host, False, back[host])  # put back just before this process started
 
--- a/roadpulley/discovery.py
+++ b/roadpulley/discovery.py
@@ -16,6 +16,7 @@
 
 from mintford.interface import BackendEntry, BackendState, ListScope
 
+from .clock import now_ms
 from .config import Address, parse_address
 from .descriptors import FIXED, Budget, Part
 from .json_stream import JsonStream, StreamError
@@ -129,6 +130,7 @@
         self.ended: Call | None = None  # the newest one, if it has ended by itself
         self.turned = asyncio.Event()  # a call has ended, another one is followed, or all shall begin anew
         self.heard = asyncio.Event()  # it has told something
+        self.held_until = -math.inf  # by `now_ms`: the list as it was known held until then
         self.took: Callable[[], None] = lambda: None  # another list holds
         self.keep: Callable[[dict[str, Any]], None] = lambda raw: None  # of what it told, as it was told
         self.weigh: Callable[[dict[str, Any]], dict[str, Any] | None] = lambda raw: raw  # None: not believed
@@ -258,7 +260,7 @@
             raw, got = weighed, read_list(weighed)
         if got.whole or got.members:
             self.listener(ListScope.FULL if got.whole else ListScope.CHANGES, got.members)
-        self.version = got.version
+        self.version, self.held_until = got.version, now_ms()
         self.keep(raw)
         self.took()
         self.heard.set()
@@ -287,6 +289,8 @@
                         self._is_first(call)
                     for raw in objects:
                         yield raw
+                    if not objects and not stream.unfinished and self.version is not None:
+                        self.held_until = now_ms()  # an empty line: nothing has changed
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                     for raw in stream.finish():
                         yield raw
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -182,9 +182,14 @@
         if isinstance(event, api.RequestArrived | api.AttemptEnded):
             self.finish(event.request, FAILED, Ended.ABORTED)
 
-    def members(self, scope: api.ListScope, members: tuple[Member, ...]) -> None:
-        """The list has changed. The module hears first: attempts that end now are sent elsewhere by it."""
-        self.give(api.BackendsChanged(scope, tuple(m.entry for m in members)))
+    def members(
+        self, scope: api.ListScope, members: tuple[Member, ...], held_until: float = -math.inf
+    ) -> None:
+        """The list has changed. The module hears first: attempts that end now are sent elsewhere by it.
+
+        `held_until`: when the list before it was last known to hold.
+        """
+        self.give(api.BackendsChanged(scope, tuple(m.entry for m in members), held_until))
         # What a retired backend's attempts are sent to instead may be listed for the first time.
         for member in sorted(members, key=lambda one: one.entry.state is not api.BackendState.READY):
             entry = member.entry
--- a/roadpulley/program.py
+++ b/roadpulley/program.py
@@ -28,6 +28,7 @@
 
 # Event loops that could not run. They can't be closed, and their descriptors must not be closed by the
 # collector once other parts of the program have the same numbers.
+early_reloads: list[int] = []  # SIGHUP before the event loop runs
 broken_loops: list[asyncio.AbstractEventLoop] = []
 
 
@@ -72,6 +73,8 @@
                 log.warning("the changed configuration is not taken: %s", error)  # the old one still holds
 
     loop.add_signal_handler(signal.SIGHUP, reload)
+    if early_reloads:
+        reload()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
     await serve(config, stop, changes=changes)
@@ -127,7 +130,11 @@
 
 
 def main(path: str) -> int:
-    """Serve with the configuration at `path`; gives the exit code."""
+    """Serve with the configuration at `path`; gives the exit code.
+
+    SIGHUP before the event loop hears it is kept for then, and after it has ended there is nothing to reload.
+    """
+    signal.signal(signal.SIGHUP, lambda number, _: early_reloads.append(number))
     try:
         config = read_config(path)
         run_in_loop(lambda: run(path, config))
@@ -137,4 +144,6 @@
     except (ListenError, OSError) as error:
         print(f"roadpulley: this machine does not let it serve: {error}", file=sys.stderr)
         return 1
+    finally:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     return 0
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -26,7 +26,7 @@
 from .config import Config
 from .counter import Counter
 from .descriptors import OF_LINE, OF_STATE, OWN, Budget
-from .discovery import Discovery, asks_apart, read_list
+from .discovery import Discovery, Member, asks_apart, read_list
 from .driver import Driver
 from .figures import Ended, Figures
 from .guard import Guard
@@ -111,7 +111,7 @@
             self.driver.members(api.ListScope.SAVED, known.members)
         apart = asks_apart(config.settings.gateways) if config.settings.must_ask_for_list else 0.0
         chance = random.Random(config.seed)
-        self.discovery = Discovery(config.discovery, version, self.driver.members, chance, self.budget, apart)
+        self.discovery = Discovery(config.discovery, version, self.on_list, chance, self.budget, apart)
         self.audit: Audit | None = None  # the versions acted on, with `fleet` or `audit`
         self.recovery: Recovery | None = None  # of the state on disk, if there is a folder for it
         self.hands: dict[str, Bans] = {}  # what operators call, by kind
@@ -147,6 +147,10 @@
         self.emptying: asyncio.Task[None] | None = None  # until nothing is left of a hand-over
         self.driver.states = self.states
 
+    def on_list(self, scope: api.ListScope, members: tuple[Member, ...]) -> None:
+        """Discovery told a list, or a change of it."""
+        self.driver.members(scope, members, self.discovery.held_until)
+
     # ---- what operators call ----
 
     def calls(self) -> Calls:
