--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -25,6 +25,8 @@
 WANTS_MS = 3_000.0  # memory of the wants
 EVENLY, BY_WANTS = 0.5, 0.45  # of a ceiling: divided evenly, and by wants; the rest is for late readings
 COUNT_PATIENCE = 5.0  # of a call's usual time: past what the network code waits for an answer
+MET = 0.1  # units: wants of others that no rounding makes up
+ALONE = 8  # customers of whom nobody else was seen to want anything: that is no chance any more
 LEAST_SAID = 0.01  # units: an amount of 0 only reads
 FRESH_MS, SURGE = 100.0, 5.0  # a sparse reading stands until so many quotas at once could spend what is left
 FITTING_WEIGHT, CHANCE_PART = 0.1, 0.8  # of one reading; of a passed quota, which chance finds empty at times
@@ -130,6 +132,8 @@
         self.zones = Zones(settings, self.random)
         self.back = Return()
         self.keeping = Keeping(settings, random.Random(seed))  # a lot of its own: it changes nothing if off
+        self.met_others = False  # wants of other gateways were read in a period of this one's
+        self.read_alone: set[str] = set()  # customers that were read and showed none
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, the oldest first
         self.created = -1.0  # the time of the first event
@@ -276,6 +280,8 @@
             # Danger: the counter lost its numbers; it would look as if nobody had asked for anything.
             return False
         others = max(0.0, total - amount - (before if same else 0.0))
+        if self.counts_apart(c, others):
+            return self.even_share(now, c)
         if same:
             c.mine, c.all = c.mine * fade + amount, c.all * fade + amount + others
         # Danger: the parts of a quota add up to more than one while it has room; those of a ceiling may not.
@@ -298,6 +304,26 @@
         self.count(c, period - 1, 0.0, out, held)
         return True
 
+    def counts_apart(self, c: Customer, others: float) -> bool:
+        """Whether the periods here are not those of the other gateways, as this one's clock is wrong.
+
+        The front spreads each customer over several gateways: that of so many customers nobody else was ever
+        seen to want anything is no chance. One reading that shows others' wants proves the clock good.
+        """
+        if others >= MET:
+            self.met_others = True
+        if self.met_others or c.even >= 1:
+            return False
+        if len(self.read_alone) < ALONE:
+            self.read_alone.add(c.key)
+        return len(self.read_alone) >= ALONE
+
+    def even_share(self, now: float, c: Customer) -> bool:
+        """What counts apart is safe with an even share alone."""
+        c.part, c.top, c.heard = c.even, c.even, False
+        c.fresh_until = now + (FRESH_MS if c.sparse else REFRESH_MS)
+        return False
+
     def share_out(
         self, now: float, c: Customer, others: float, mine: float, brought: float, burst: float
     ) -> bool:
--- /dev/null
+++ b/tests/test_wall_clock.py
@@ -0,0 +1,93 @@
+"""Wall clocks that are wrong, here or at other machines: what is compared with them, and what holds."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+from helpers import RULES, World, entry
+from test_discovery import Watch
+from test_leases import answer, counts
+
+from fleetlab.agents import host
+from fleetlab.alone import in_loop
+from fleetlab.sockets import until
+from mintford import interface as api
+
+HOUR_MS = 3_600_000.0
+
+
+def told(world: World, started: float, held_until: float) -> None:
+    """A newer list brings backend 9, whose start another clock tells."""
+    world.give(api.BackendsChanged(api.ListScope.CHANGES, (entry(9, started=started),), held_until))
+
+
+@pytest.mark.parametrize("ahead_ms", [1_000.0, 90_000.0, HOUR_MS])
+def test_a_backend_that_a_newer_list_brings_is_cold_though_this_clock_is_ahead(ahead_ms: float) -> None:
+    world = World(now=2 * HOUR_MS)
+    told(world, started=world.now - ahead_ms, held_until=world.now - 500)
+    backend = world.gateway.backends[9]
+    assert backend.warmth(world.now) == pytest.approx(0.2 + 0.8 * 500 / RULES.warm_within)
+    assert backend.warmth(world.now + RULES.warm_within) == 1.0
+
+
+@pytest.mark.parametrize("behind_ms", [1_000.0, 90_000.0, HOUR_MS])
+def test_a_start_that_is_yet_to_come_by_this_clock_is_now(behind_ms: float) -> None:
+    world = World(now=2 * HOUR_MS)
+    told(world, started=world.now + behind_ms, held_until=world.now - 500)
+    backend = world.gateway.backends[9]
+    assert backend.warmth(world.now) == pytest.approx(RULES.start_capacity)
+    assert backend.warmth(world.now + RULES.warm_within) == pytest.approx(1.0)
+
+
+def test_a_backend_that_tells_a_new_start_is_cold_though_this_clock_is_ahead() -> None:
+    world = World((entry(1), entry(9, started=1.0)), now=2 * HOUR_MS)
+    assert world.gateway.backends[9].warmth(world.now) == 1.0  # the first list is believed
+    told(world, started=2.0, held_until=world.now)
+    assert world.gateway.backends[9].warmth(world.now) == pytest.approx(RULES.start_capacity)
+
+
+def test_a_start_of_long_ago_is_warm_whenever_it_is_told() -> None:
+    world = World(now=2 * HOUR_MS)
+    told(world, started=0.0, held_until=world.now)
+    assert world.gateway.backends[9].warmth(world.now) == 1.0
+
+
+def test_what_was_put_back_by_a_clock_that_is_ahead_warms_up_from_now_on() -> None:
+    world = World(now=2 * HOUR_MS)
+    world.give(api.BackendHeld(1, True, world.now))
+    world.give(api.BackendHeld(1, False, world.now + HOUR_MS))
+    backend = world.gateway.backends[1]
+    assert backend.warmth(world.now) == pytest.approx(RULES.start_capacity)
+    assert backend.warmth(world.now + RULES.warm_within) == pytest.approx(1.0)
+
+
+def test_who_counts_apart_from_all_others_keeps_to_the_even_share() -> None:
+    world = World()
+    for number in range(9):  # the front spreads each of them over two gateways
+        for call in counts(world.ask(customer=f"c{number}")):
+            answer(world, call, call.amount)
+    last = world.gateway.customers["c8"]
+    assert (last.part, last.top, last.heard) == (0.5, 0.5, False)
+    for call in counts(world.ask(customer="c9")):
+        answer(world, call, call.amount + 1.0)  # somebody else counts in the same period
+    waiting = counts(world.ask(customer="c10"))
+    while waiting:  # of this period, and of how the last one ended
+        call = waiting[0]
+        waiting = counts(world.give(api.CounterReplied(call.name, api.Outcome.OK, call.amount)))
+    assert world.gateway.customers["c10"].heard
+
+
+def test_an_empty_line_says_that_the_list_still_holds() -> None:
+    async def scenario() -> None:
+        async with Watch() as watch:
+            await until(lambda: watch.service.watches)
+            assert watch.client.held_until == -math.inf
+            watch.service.say(b"")
+            await until(lambda: watch.client.held_until > 0)
+            silent_from = watch.client.held_until
+            watch.service.change(42, host("h9", 1))
+            await until(lambda: watch.client.version == 42)
+            assert watch.client.held_until >= silent_from
+
+    in_loop(scenario)
