A thread that can't be made refuses no start

With a folder for state or audit, EAGAIN for the thread ended the start with a traceback. Change: treated as a disk that fails: served without, tried again each second; the audit stays in memory. Measured: the new test and 69 others of these files pass.

--- a/roadpulley/segments.py
+++ b/roadpulley/segments.py
@@ -139,7 +139,10 @@
         self.over = 0  # lost as too many waited; counted by the event loop alone
         self.why = ""
         self.thread = threading.Thread(target=self._run, name="audit", daemon=True)
-        self.thread.start()
+        try:
+            self.thread.start()
+        except RuntimeError as error:  # the system gives no thread: records are kept in memory alone
+            log.warning("the audit can't be written: %s", error)
 
     def add(self, record: Record) -> None:
         if self.queue.qsize() >= MOST_WAITING:
@@ -150,7 +153,8 @@
     def close(self) -> None:
         """What waits is written, as far as the disk lets it in time."""
         self.queue.put(None)
-        self.thread.join(END_S)
+        if self.thread.ident is not None:
+            self.thread.join(END_S)
 
     def _run(self) -> None:
         segments: Segments | None = None
--- a/roadpulley/store.py
+++ b/roadpulley/store.py
@@ -316,9 +316,12 @@
         self.numbers: dict[int, int] = {}  # the module's number of a row, by the store's
         self.waiting: dict[int, asyncio.Future[bool]] = {}  # those who wait for a row's commit
         self.committed_at, self.commits = time.monotonic(), 0
-        self.thread = threading.Thread(target=self._work, name="state", daemon=True)
-        self.thread.start()
         self.watching = self.loop.call_later(BEAT_S, self._watch)
+        self.thread = threading.Thread(target=self._work, name="state", daemon=True)
+        try:
+            self.thread.start()
+        except RuntimeError as error:  # the system gives no thread
+            self.loop.call_soon(self.abandon, str(error))
 
     # ---- in the event loop ----
 
@@ -404,7 +407,8 @@
 
     def join(self) -> None:
         """Wait for the thread, as long as a commit may take."""
-        self.thread.join(PATIENCE_S)
+        if self.thread.ident is not None:
+            self.thread.join(PATIENCE_S)
 
     # ---- in the thread ----
 
--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -254,6 +254,20 @@
     in_loop(scenario)
 
 
+def test_a_thread_that_can_t_be_made_refuses_no_start(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with faulty(tmp_path, FailingCall("thread", 1.0, ("EAGAIN",), most=1), state=True) as gateway:
+            peer = await gateway.client()
+            peer.send(*request())
+            assert await peer.receive() == b"value"
+            while not (await stats(gateway.world))["state.on"]:
+                await asyncio.sleep(0.01)
+            assert gateway.failed("thread") == 1
+            assert await gateway.ended(signal.SIGTERM) == 0
+
+    in_loop(scenario)
+
+
 def test_an_address_that_another_process_holds_is_had_once_that_one_ends(tmp_path: Path) -> None:
     async def scenario() -> None:
         with socket.create_server((LOCAL, 0)) as held:
