--- a/roadpulley/concert.py
+++ b/roadpulley/concert.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from mintford import Gateway, shown
+from mintford import Gateway, gateway_status
 from mintford import interface as api
 
 from .audit import Noted
@@ -91,7 +91,7 @@
         if self.peers is None or not gateway.zones.several:
             return self.follow({})
         seen = seen_of(gateway, now_ms())
-        load = shown.offered(gateway, now_ms())
+        load = gateway_status.offered(gateway, now_ms())
         self.zonal.regions = gateway.zones.regions
         words = self.zonal.look(self.peers.node, now, now_ms(), seen, load)
         if self.peers.node.facts.refused["own"] and not self.over_said:
@@ -191,7 +191,7 @@
 
 def seen_of(gateway: Gateway, now: float) -> dict[str, Seen]:
     """What a gateway meets, by zone, in the words of the line; `now` in milliseconds."""
-    met = {zone: one for zone, one in shown.met(gateway, now).items() if one.usable}
+    met = {zone: one for zone, one in gateway_status.met(gateway, now).items() if one.usable}
     return {z: Seen(o.usable, ages(o.lost), ages(o.well), o.slow, o.warmth) for z, o in met.items()}
 
 
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -11,7 +11,7 @@
 from functools import partial
 from typing import Any
 
-from mintford import Gateway, shown
+from mintford import Gateway, gateway_status
 from mintford import interface as api
 from mintford.rules import NEVER_RAN
 from mintford.shares import PRESSED, FairShares
@@ -132,12 +132,12 @@
         return {
             "outstanding": len(self.requests),
             "discovered": len(self.gateway.backends),
-            "ejected": shown.ejected(self.gateway, now_ms()),
+            "ejected": gateway_status.ejected(self.gateway, now_ms()),
         }
 
     def zones(self) -> dict[str, dict[str, int]]:
         """The figures of each zone, under a name that can stand in a figure's; of two alike, those of one."""
-        given = shown.figures_of(self.gateway.zones, now_ms())
+        given = gateway_status.figures_of(self.gateway.zones, now_ms())
         return {figure_name(zone): figures for zone, figures in given.items()}
 
     # ---- events ----
--- a/roadpulley/rejoin.py
+++ b/roadpulley/rejoin.py
@@ -16,8 +16,8 @@
 from enum import IntEnum
 from typing import Any
 
+from mintford import gateway_status
 from mintford import interface as api
-from mintford import shown
 
 from .audit import Noted
 from .bans import Bans
@@ -114,7 +114,7 @@
         """What is spent of quotas, as this one knows; None as long as it asks itself."""
         if not self.ready:
             return None
-        told = shown.spending(self.driver.gateway, now_ms(), MOST_SPENT)
+        told = gateway_status.spending(self.driver.gateway, now_ms(), MOST_SPENT)
         return [Spent(one.key, one.plan, one.even, one.left) for one in told]
 
     def settle(self) -> None:
--- a/tests/lined.py
+++ b/tests/lined.py
@@ -8,8 +8,8 @@
 from fleet import Fleet
 
 from fleetlab.line import Net, acquaint, address_of
+from mintford import gateway_status
 from mintford import interface as api
-from mintford import shown
 from roadpulley.concert import LOOK_S, TICK_S, seen_of, told_of
 from roadpulley.fleet.messages import Entry
 from roadpulley.fleet.zonal import Act, Word, Zonal, read_act
@@ -91,7 +91,7 @@
         if losses != self.losses[index] or self.stirred[index] or self.net.now - self.looked[index] >= LOOK_S:
             self.losses[index], self.stirred[index], self.looked[index] = losses, False, self.net.now
             gateway, wall = self.gateways[index], self.net.wall(address_of(index))
-            seen, load = seen_of(gateway, self.now), shown.offered(gateway, self.now)
+            seen, load = seen_of(gateway, self.now), gateway_status.offered(gateway, self.now)
             self.zonals[index].regions = gateway.zones.regions
             words = self.zonals[index].look(node, self.net.now, wall, seen, load)
             self.net.carry(address_of(index), node)
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 
 from fleetlab.line import WALL_MS, Net, fleet
-from mintford import Gateway, shown
+from mintford import Gateway, gateway_status
 from mintford import interface as api
 from roadpulley import ctl, rejoin
 from roadpulley.fleet.behind import bound_by
@@ -186,7 +186,7 @@
     knows, lost = module(), module()
     for number in range(10):
         ask(knows, 1e6 + number, number, "bas")
-    (told,) = shown.spending(knows, 1e6 + 20, 10)
+    (told,) = gateway_status.spending(knows, 1e6 + 20, 10)
     assert told.key == "cbas" and told.left == pytest.approx(14.0, abs=0.1)  # its even share: six
     for word in (told, api.PeerTold("cbas", "bas", told.even, 18.0)):  # a liar's, or an older one's
         lost.handle(1e6 + 20, word)
@@ -222,7 +222,7 @@
     after = [module(seed=seed) if gone else old for gone, old in zip(lost, set_of, strict=True)]
     for teller, (number, gateway) in itertools.product(heard, enumerate(after)):
         if teller != number:
-            for told in shown.spending(after[teller], now, 10):
+            for told in gateway_status.spending(after[teller], now, 10):
                 gateway.handle(now, told)
     given_out = sum(gateway.customer(now, "cbas", "bas", 1 / 3).tokens for gateway in after)
     whole = [number for number, gone in enumerate(lost) if not gone]
