Rename mintford.rows to state_records

Change: the module and its classes are renamed; wire forms, files on disk and settings keep their names.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -16,7 +16,7 @@
 from .customers import LEASE_MS, Customer
 from .keeping import Keeping
 from .returning import Return
-from .rows import Rows, check, read_numbers
+from .state_records import StateRecords, check, read_numbers
 from .zones import Zones
 
 OWED_MS = 1_500.0  # a backend put back gets a request after so long at the latest, as it may be worth using
@@ -116,7 +116,7 @@
     return int.from_bytes(digest, "big") % slices
 
 
-class Gateway(Rows):
+class Gateway(StateRecords):
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings, self.random = settings, random.Random(seed)
         self.classes = {c.name: c for c in settings.classes}
--- a/mintford/rows.py
+++ b/mintford/state_records.py
@@ -1,4 +1,4 @@
-"""Rows of state, as they are told to another process or kept on disk, and taken from there. Pure.
+"""StateRecords of state, as they are told to another process or kept on disk, and taken from there. Pure.
 
 Nothing here decides anything of a request: what is out of its range is refused whole, with a ValueError.
 """
@@ -44,7 +44,7 @@
         raise ValueError("out of range")
 
 
-class Rows:
+class StateRecords:
     """What of a gateway passes over in rows; `Gateway` (rules.py) owns it all, and decides by it."""
 
     created: float
