Rename mintford.returning to recovery_ramp

Change: the module and its classes are renamed; wire forms, files on disk and settings keep their names.

--- a/mintford/returning.py
+++ b/mintford/recovery_ramp.py
@@ -14,7 +14,7 @@
 FRESH_MS = 1_000.0  # how old an answer may be that lifts it: silence is no evidence
 
 
-class Return:
+class RecoveryRamp:
     """Owns whether the fleet returns, and how far the cold rule's lot is lifted meanwhile."""
 
     def __init__(self) -> None:
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -15,7 +15,7 @@
 from . import interface as api
 from .customers import LEASE_MS, Customer
 from .keeping import Keeping
-from .returning import Return
+from .recovery_ramp import RecoveryRamp
 from .state_records import StateRecords, check, read_numbers
 from .zones import Zones
 
@@ -130,7 +130,7 @@
         self.returned: dict[int, float] = {}  # backends that they put back lately, and when
         self.subset: list[Backend] = []  # the backends that this gateway uses
         self.zones = Zones(settings, self.random)
-        self.back = Return()
+        self.back = RecoveryRamp()
         self.keeping = Keeping(settings, random.Random(seed))  # a lot of its own: it changes nothing if off
         self.met_others = False  # wants of other gateways were read in a period of this one's
         self.read_alone: set[str] = set()  # customers that were read and showed none
