Rename mintford.keeping to durable_state

Change: the module and its classes are renamed; wire forms, files on disk and settings keep their names.

--- a/mintford/keeping.py
+++ b/mintford/durable_state.py
@@ -49,7 +49,7 @@
         self.told_at, self.row = -math.inf, False
 
 
-class Keeping:
+class DurableState:
     """Owns what customers may spend ahead of the disk, and which rows are old. Off, it does nothing."""
 
     def __init__(self, settings: api.Settings, chance: random.Random) -> None:
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -14,7 +14,7 @@
 
 from . import interface as api
 from .customers import LEASE_MS, Customer
-from .keeping import Keeping
+from .durable_state import DurableState
 from .recovery_ramp import RecoveryRamp
 from .state_records import StateRecords, check, read_numbers
 from .zones import Zones
@@ -131,7 +131,9 @@
         self.subset: list[Backend] = []  # the backends that this gateway uses
         self.zones = Zones(settings, self.random)
         self.back = RecoveryRamp()
-        self.keeping = Keeping(settings, random.Random(seed))  # a lot of its own: it changes nothing if off
+        self.keeping = DurableState(
+            settings, random.Random(seed)
+        )  # a lot of its own: it changes nothing if off
         self.met_others = False  # wants of other gateways were read in a period of this one's
         self.read_alone: set[str] = set()  # customers that were read and showed none
         self.requests: dict[str, Request] = {}
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from mintford import interface as api
-from mintford.keeping import DOWN_MS, LAG_MS, MOST_KEPT, PARTS, SPREAD_MS, STALE_MS
+from mintford.durable_state import DOWN_MS, LAG_MS, MOST_KEPT, PARTS, SPREAD_MS, STALE_MS
 
 Told = tuple[str, str]
 
