Rename roadpulley.beside to upgrade_handover

Change: the module and its classes are renamed; wire forms, files on disk and settings keep their names.

--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -20,7 +20,6 @@
 from .accept import inherited, listening_in_time
 from .backends import Backends
 from .bans import Bans, private_file
-from .beside import HOLDS, Beside
 from .clients import BACKLOG, ClientServer
 from .clock import Timers, now_ms
 from .config import Config
@@ -32,6 +31,7 @@
 from .guard import Guard
 from .operators import Calls, Later, OperatorServer, Said
 from .streams import Room
+from .upgrade_handover import HOLDS, UpgradeHandover
 
 if TYPE_CHECKING:
     from .audit import Audit
@@ -127,7 +127,7 @@
                 self.recovery.keep_list(config.known)
         self.clients = ClientServer(self.driver, self.budget, self.room, self.figures, self.guard)
         self.operators = OperatorServer(self.calls(), self.budget)
-        self.beside = Beside(
+        self.beside = UpgradeHandover(
             private_file(config.name, "beside.sock"),
             came=partial(self.driver.give, api.BesideCame()),
             heard=lambda said: self.driver.give(api.BesideSaid(said)),
--- a/roadpulley/beside.py
+++ b/roadpulley/upgrade_handover.py
@@ -67,7 +67,7 @@
             self.transport.close()
 
 
-class Beside:
+class UpgradeHandover:
     """Owns the line; tells who serves and hands on what the module says to the other process."""
 
     def __init__(
