Rename roadpulley.concert to zone_coordination

Change: the module and its class are renamed; wire forms, files on disk and settings keep their names.

--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -35,7 +35,6 @@
 
 if TYPE_CHECKING:
     from .audit import Audit
-    from .concert import Concert
     from .fleet.behind import Apart
     from .fleet.messages import Entry, Exchange
     from .fleet.shutting import Shutting
@@ -44,6 +43,7 @@
     from .recovery import Recovery
     from .rejoin import Rejoin
     from .together import Together
+    from .zone_coordination import ZoneCoordinator
 
 log = logging.getLogger(__name__)
 
@@ -143,7 +143,7 @@
         self.drained = False  # by an operator
         self.apart: Apart | None = None  # what most others have another version of
         self.level: Level | None = None  # whether the list here is behind theirs
-        self.concert: Concert | None = None  # zones as one act of the fleet
+        self.concert: ZoneCoordinator | None = None  # zones as one act of the fleet
         self.emptying: asyncio.Task[None] | None = None  # until nothing is left of a hand-over
         self.driver.states = self.states
 
@@ -394,11 +394,11 @@
         """Take part in the fleet, if the configuration names one."""
         if self.config.line is None or self.peers is not None:
             return
-        from .concert import Concert
         from .fleet.behind import Apart
         from .fleet.facts import FOR_ALL
         from .peers import Peers, next_life
         from .together import Together
+        from .zone_coordination import ZoneCoordinator
 
         chance = random.Random(f"{self.config.seed} line")
         life = next_life(self.config.state, chance)
@@ -409,7 +409,7 @@
         if self.rejoin is not None:
             self.rejoin.attach(self.peers)
         if self.concert is None:
-            self.concert = Concert(self.driver, random.Random(f"{self.config.seed} zones"))
+            self.concert = ZoneCoordinator(self.driver, random.Random(f"{self.config.seed} zones"))
             self.concert.noted = self.note
         if self.audit is not None:
             self.audit.follow(self.peers.node.order, life)
--- a/roadpulley/concert.py
+++ b/roadpulley/zone_coordination.py
@@ -32,7 +32,7 @@
 STATES = {"up": 0, "returning": 1, "left": 2}  # as `zone.Z.state` tells the module's own
 
 
-class Concert:
+class ZoneCoordinator:
     """Owns this gateway's part in the fleet's zones."""
 
     def __init__(self, driver: Driver, chance: random.Random) -> None:
--- a/tests/lined.py
+++ b/tests/lined.py
@@ -10,13 +10,13 @@
 from fleetlab.line import Net, acquaint, address_of
 from mintford import gateway_status
 from mintford import interface as api
-from roadpulley.concert import LOOK_S, TICK_S, seen_of, told_of
 from roadpulley.fleet.messages import Entry
 from roadpulley.fleet.zonal import Act, Word, Zonal, read_act
+from roadpulley.zone_coordination import LOOK_S, TICK_S, seen_of, told_of
 
 
 class Lined(Fleet):
-    """As `Fleet`; each gateway looks at its zones as `roadpulley/concert.py` does, but for `lone` ones."""
+    """As `Fleet`; gateways look at their zones as `zone_coordination.py` does, but for `lone` ones."""
 
     def __init__(
         self,
--- a/tests/test_zonal.py
+++ b/tests/test_zonal.py
@@ -20,7 +20,6 @@
 from mintford import interface as api
 from roadpulley import ctl
 from roadpulley.clock import now_ms
-from roadpulley.concert import entry_of, row_of
 from roadpulley.fleet.facts import MOST_COUNTED, ZONE_ACT, Facts, higher
 from roadpulley.fleet.messages import Entry, State
 from roadpulley.fleet.zonal import (
@@ -43,6 +42,7 @@
     share_at,
 )
 from roadpulley.recovery import holds
+from roadpulley.zone_coordination import entry_of, row_of
 
 ZONES = {"a": 8, "b": 8, "c": 8}
 
