Rename roadpulley.together to fleet_calls

Change: the module and its classes are renamed; wire forms, files on disk and settings keep their names.

--- a/roadpulley/together.py
+++ b/roadpulley/fleet_calls.py
@@ -36,7 +36,7 @@
 }
 
 
-class Together:
+class FleetCalls:
     """Owns this gateway's part in calls for the whole fleet."""
 
     def __init__(self, hands: Mapping[str, Bans]) -> None:
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -38,11 +38,11 @@
     from .fleet.behind import Apart
     from .fleet.messages import Entry, Exchange
     from .fleet.shutting import Shutting
+    from .fleet_calls import FleetCalls
     from .level import Level
     from .peers import Peers, Word
     from .recovery import Recovery
     from .rejoin import Rejoin
-    from .together import Together
     from .zone_coordination import ZoneCoordinator
 
 log = logging.getLogger(__name__)
@@ -136,7 +136,7 @@
             holds=self.share,
         )
         self.peers: Peers | None = None  # the other gateways, if there is a line to them
-        self.together: Together | None = None  # what operators call for all of them
+        self.together: FleetCalls | None = None  # what operators call for all of them
         self.rejoin: Rejoin | None = None  # what was taken from them at the start
         self.shutting: Shutting | None = None  # whether it is shut out, as its list stays behind
         self.lags = ""  # what this gateway acts on that is behind
@@ -396,15 +396,15 @@
             return
         from .fleet.behind import Apart
         from .fleet.facts import FOR_ALL
+        from .fleet_calls import FleetCalls
         from .peers import Peers, next_life
-        from .together import Together
         from .zone_coordination import ZoneCoordinator
 
         chance = random.Random(f"{self.config.seed} line")
         life = next_life(self.config.state, chance)
         self.peers = Peers(self.config.name, self.config.line, life, chance, self.words)
         if self.together is None:
-            self.together = Together({FOR_ALL[kind]: bans for kind, bans in self.hands.items()})
+            self.together = FleetCalls({FOR_ALL[kind]: bans for kind, bans in self.hands.items()})
         self.together.attach(self.peers)
         if self.rejoin is not None:
             self.rejoin.attach(self.peers)
