Rename roadpulley.level to list_repair

Change: the module and its classes are renamed; wire forms, files on disk and settings keep their names.

--- a/roadpulley/fleet/zonal.py
+++ b/roadpulley/fleet/zonal.py
@@ -51,7 +51,7 @@
 EACH_LEAST = 1.0  # requests a second that any backend bears: without load a ramp would stand still for ever
 WEIGHTS, LOAD_STEP = 15, 1.25  # of the parts; loads are told in steps, so that they change seldom
 
-Level = Literal["up", "left", "returning"]
+ListRepair = Literal["up", "left", "returning"]
 Id = Annotated[str, msgspec.Meta(max_length=ID_DIGITS)]
 Age = Annotated[int, msgspec.Meta(ge=0, le=10_000)]
 Lost = tuple[int, frozenset[str]]  # of a return: its step, and the backends that were lost on it
@@ -76,7 +76,7 @@
     there, `parts` a hexadecimal digit for each place of a gateway, or "" for even ones.
     """
 
-    state: Level
+    state: ListRepair
     step: Annotated[int, msgspec.Meta(ge=0, le=STEPS)] = 0
     flaps: Annotated[int, msgspec.Meta(ge=0, le=MOST_FLAPS)] = 0
     each: Finite = 0.0
--- a/roadpulley/level.py
+++ b/roadpulley/list_repair.py
@@ -26,7 +26,7 @@
 MOST_LISTS = 8  # of others that are held at once
 
 
-class Level:
+class ListRepair:
     """Owns whether this gateway is behind, and the newer lists that others have told it since."""
 
     def __init__(
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -39,7 +39,7 @@
     from .fleet.messages import Entry, Exchange
     from .fleet.shutting import Shutting
     from .fleet_calls import FleetCalls
-    from .level import Level
+    from .list_repair import ListRepair
     from .peers import Peers, Word
     from .recovery import Recovery
     from .rejoin import Rejoin
@@ -142,7 +142,7 @@
         self.lags = ""  # what this gateway acts on that is behind
         self.drained = False  # by an operator
         self.apart: Apart | None = None  # what most others have another version of
-        self.level: Level | None = None  # whether the list here is behind theirs
+        self.level: ListRepair | None = None  # whether the list here is behind theirs
         self.concert: ZoneCoordinator | None = None  # zones as one act of the fleet
         self.emptying: asyncio.Task[None] | None = None  # until nothing is left of a hand-over
         self.driver.states = self.states
@@ -325,13 +325,13 @@
         if self.recovery is not None:
             await self.recovery.load()
             if self.config.line is not None:
-                from .level import Level
+                from .list_repair import ListRepair
                 from .rejoin import Rejoin
 
                 index = self.config.settings.index
                 self.rejoin = Rejoin(self.hands, self.recovery, self.driver, self.discovery, index)
                 chance = random.Random(f"{self.config.seed} level")
-                self.level = Level(self.driver, self.discovery, self.recovery, chance)
+                self.level = ListRepair(self.driver, self.discovery, self.recovery, chance)
                 self.rejoin.noted = self.level.noted = self.note
 
     def begin_audit(self) -> None:
@@ -449,7 +449,7 @@
                 log.warning("the %s here is %s: %s", kind, mine, said)
                 self.note("differs" if theirs else "alike", kind, "", said)
 
-    def shut(self, level: Level, peers: Peers) -> None:
+    def shut(self, level: ListRepair, peers: Peers) -> None:
         """Go out, or come back, as its list stays behind the others' and most of them grant it."""
         from .fleet.behind import floors_of
         from .fleet.shutting import Shutting
--- a/tests/test_behind.py
+++ b/tests/test_behind.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies as st
 
 from fleetlab.fixture import Plays
-from roadpulley import level
+from roadpulley import list_repair
 from roadpulley.fleet.behind import APART_S, BEHIND_S, Apart, Behind, agreed, number, usual
 from roadpulley.fleet.messages import Exchange, HostRow, Listed
-from roadpulley.level import Level
+from roadpulley.list_repair import ListRepair
 
 HOSTS = ("h0", "h1", "h2", "h3")
 HEALTHS = st.sampled_from(["up", "draining", "gone"])
@@ -81,7 +81,7 @@
 
 
 class Stuck:
-    """Stands in for the parts that `Level` joins: its own agent's list, and who hears of changes."""
+    """Stands in for the parts that `ListRepair` joins: its own agent's list, and who hears of changes."""
 
     version: int | None = 5
 
@@ -97,7 +97,7 @@
 
 def test_a_list_is_brought_up_once_by_two_alike_and_not_by_one_however_often() -> None:
     stuck: Any = Stuck()
-    one = Level(stuck, stuck, stuck, cast(Any, None))
+    one = ListRepair(stuck, stuck, stuck, cast(Any, None))
     one.is_behind = True
 
     def tell(sender: str, what: Listed) -> None:
@@ -117,7 +117,7 @@
     assert stuck.changes[2:] == [("gone",)]  # h2: that is two
     tell("g5", listed(9, **everything))
     assert len(stuck.changes) == 3  # nobody is left without any backend on others' word
-    assert len(one.lists) <= level.MOST_LISTS
+    assert len(one.lists) <= list_repair.MOST_LISTS
 
 
 @pytest.mark.timeout(120)
