Rename roadpulley.rejoin to fleet_recovery

Change: the module and its classes are renamed; wire forms, files on disk and settings keep their names.

--- a/roadpulley/rejoin.py
+++ b/roadpulley/fleet_recovery.py
@@ -52,7 +52,7 @@
     WHOLE = 4
 
 
-class Rejoin:
+class FleetRecovery:
     """Owns what was taken from the others, and the stage of this gateway's return.
 
     What is out by hand follows the fleet's word where it came from there; else this gateway's own calls.
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -39,10 +39,10 @@
     from .fleet.messages import Entry, Exchange
     from .fleet.shutting import Shutting
     from .fleet_calls import FleetCalls
+    from .fleet_recovery import FleetRecovery
     from .list_repair import ListRepair
     from .peers import Peers, Word
     from .recovery import Recovery
-    from .rejoin import Rejoin
     from .zone_coordination import ZoneCoordinator
 
 log = logging.getLogger(__name__)
@@ -137,7 +137,7 @@
         )
         self.peers: Peers | None = None  # the other gateways, if there is a line to them
         self.together: FleetCalls | None = None  # what operators call for all of them
-        self.rejoin: Rejoin | None = None  # what was taken from them at the start
+        self.rejoin: FleetRecovery | None = None  # what was taken from them at the start
         self.shutting: Shutting | None = None  # whether it is shut out, as its list stays behind
         self.lags = ""  # what this gateway acts on that is behind
         self.drained = False  # by an operator
@@ -325,11 +325,11 @@
         if self.recovery is not None:
             await self.recovery.load()
             if self.config.line is not None:
+                from .fleet_recovery import FleetRecovery
                 from .list_repair import ListRepair
-                from .rejoin import Rejoin
 
                 index = self.config.settings.index
-                self.rejoin = Rejoin(self.hands, self.recovery, self.driver, self.discovery, index)
+                self.rejoin = FleetRecovery(self.hands, self.recovery, self.driver, self.discovery, index)
                 chance = random.Random(f"{self.config.seed} level")
                 self.level = ListRepair(self.driver, self.discovery, self.recovery, chance)
                 self.rejoin.noted = self.level.noted = self.note
@@ -382,7 +382,7 @@
 
     # ---- the line to other gateways ----
 
-    async def hear_fleet(self, rejoin: Rejoin, took_over: bool) -> None:
+    async def hear_fleet(self, rejoin: FleetRecovery, took_over: bool) -> None:
         """Before clients: what the others know that a lost or an old disk does not."""
         if took_over:
             return rejoin.settle()  # the line is the other process's for a moment yet
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -17,11 +17,11 @@
 from fleetlab.line import WALL_MS, Net, fleet
 from mintford import Gateway, gateway_status
 from mintford import interface as api
-from roadpulley import ctl, rejoin
+from roadpulley import ctl, fleet_recovery
 from roadpulley.fleet.behind import bound_by
 from roadpulley.fleet.messages import LIST, SPENDING, Entry, Exchange, HostRow, Listed, Spent
 from roadpulley.fleet.outage import OLD_S, judge, read_down
-from roadpulley.rejoin import DOUBT_S, Rejoin, Stage
+from roadpulley.fleet_recovery import DOUBT_S, FleetRecovery, Stage
 
 KINDS = (
     api.RequestClass("kalkyl", 1_500.0, 4_000.0, 3.0, api.Effect.SAFE),
@@ -169,7 +169,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     kept: Any = Kept("h1", "h2")
-    one = Rejoin({}, kept, cast(Any, None), kept, 0)
+    one = FleetRecovery({}, kept, cast(Any, None), kept, 0)
     assert kept.weigh({"seq": 9, "whole": True, "hosts": []}) is None and one.held_back
     older = {"seq": 3, "whole": True, "hosts": [{"host": "h2", "health": "draining"}]}
     found = kept.weigh(older)
@@ -384,11 +384,11 @@
 
 
 def test_no_wait_for_one_that_never_answers_is_longer_than_its_bound(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(rejoin, "SPENDING_S", 0.1)
+    monkeypatch.setattr(fleet_recovery, "SPENDING_S", 0.1)
     kept: Any = Kept("h1")
     kept.down_s, kept.restored = (lambda: math.nan), 0
     driver: Any = SimpleNamespace(settings=SimpleNamespace(gateways=2), withheld=0)
-    one = Rejoin({}, kept, driver, kept, 0)
+    one = FleetRecovery({}, kept, driver, kept, 0)
     one.attach(cast(Any, Neighbour()))
 
     async def begin() -> set[str]:
@@ -404,7 +404,7 @@
 
 def test_a_process_that_takes_over_answers_and_begins_no_recovery() -> None:
     kept: Any = Kept("h1")
-    one = Rejoin({}, kept, cast(Any, SimpleNamespace(gateway=module(), withheld=0)), kept, 3)
+    one = FleetRecovery({}, kept, cast(Any, SimpleNamespace(gateway=module(), withheld=0)), kept, 3)
     assert one.spent() is None and [word.value for word in one.words()] == ["2.0"]
     one.settle()
     assert one.spent() == [] and [word.value for word in one.words()] == [None]
