--- a/roadpulley/ctl_audit.py
+++ b/roadpulley/ctl_audit.py
@@ -22,7 +22,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from . import story
+from . import audit_queries
 from .fleet.chain import GAP, Finding, Head, Record, verify
 from .segments import lines, paths
 
@@ -71,7 +71,7 @@
     known = {(one.kind, one.of, one.at) for one in records}
     older = [one for one in held if (one.kind, one.of, one.at) not in known]
     told_of = heads_of(address) if heads else {}
-    return Source(str(told["name"]), sorted([*older, *records], key=story.place), [], told_of)
+    return Source(str(told["name"]), sorted([*older, *records], key=audit_queries.place), [], told_of)
 
 
 def heads_of(address: str) -> dict[str, Head]:
@@ -111,7 +111,7 @@
         for record in source.records:
             key = record.life, record.at, record.kind, record.of
             found.setdefault(source.name, {}).setdefault(key, record)
-    return {name: sorted(ones.values(), key=story.place) for name, ones in found.items()}
+    return {name: sorted(ones.values(), key=audit_queries.place) for name, ones in found.items()}
 
 
 def clock(wall: float) -> str:
@@ -150,7 +150,7 @@
 def who(kind: str, sources: tuple[str, ...], as_json: bool) -> None:
     """Who holds which version now, and who is behind most, by how long."""
     good, others = read_all(sources)
-    held = story.who(audits_of(good), kind, time.time() * 1000)
+    held = audit_queries.who(audits_of(good), kind, time.time() * 1000)
     rows = [
         {
             "gateway": one.name,
@@ -173,7 +173,7 @@
     """When each gateway took a version, from the first to the last."""
     good, others = read_all(sources)
     audits = audits_of(good)
-    took = story.when(audits, kind, version)
+    took = audit_queries.when(audits, kind, version)
     rows = [
         {"gateway": one.name, "at": clock(one.wall), "after": f"{one.after_s:.3f} s", "cause": one.cause}
         for one in took
@@ -200,7 +200,7 @@
     rows = [
         {"gateway": name, "kind": kind, "of": of, "version": one.version, "since": clock(one.wall)}
         for name, records in sorted(audits_of(good).items())
-        for (kind, of), one in sorted(story.at_time(records, wall).items())
+        for (kind, of), one in sorted(audit_queries.at_time(records, wall).items())
     ]
     end(rows, others, as_json, len(good), True)
 
@@ -221,7 +221,7 @@
             "version": one.version,
             "cause": one.cause,
         }
-        for one in story.trace(audits_of(good), name)
+        for one in audit_queries.trace(audits_of(good), name)
     ]
     end(rows, others, as_json, len(good), True)
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -16,7 +16,7 @@
 from hypothesis import strategies as st
 
 from fleetlab.fixture import Plays
-from roadpulley import ctl, ctl_audit, story
+from roadpulley import audit_queries, ctl, ctl_audit
 from roadpulley.audit import MOST_HELD, Audit
 from roadpulley.config import ConfigError, parse_audit, parse_config
 from roadpulley.fleet.chain import FIRST, GAP, Head, Record, read, verify, write
@@ -255,13 +255,13 @@
 
 def test_who_is_behind_when_each_took_it_and_what_each_acted_on() -> None:
     audits = three()
-    held = {one.name: one.behind_s for one in story.who(audits, "list", 12_500.0)}
+    held = {one.name: one.behind_s for one in audit_queries.who(audits, "list", 12_500.0)}
     assert held == {"g0": None, "g1": None, "g2": 10.0}
-    took = story.when(audits, "list", "2")
+    took = audit_queries.when(audits, "list", "2")
     assert [(one.name, one.after_s) for one in took] == [("g0", 0.0), ("g1", 0.5)]
-    assert story.at_time(audits["g1"], 2_400.0)["list", ""].version == "1 aa"
-    assert [one.of for one in story.trace(audits, "b")] == ["a>b"]
-    assert [one.name for one in story.in_order(audits)] == ["g0", "g1", "g2", "g0", "g1", "g1"]
+    assert audit_queries.at_time(audits["g1"], 2_400.0)["list", ""].version == "1 aa"
+    assert [one.of for one in audit_queries.trace(audits, "b")] == ["a>b"]
+    assert [one.name for one in audit_queries.in_order(audits)] == ["g0", "g1", "g2", "g0", "g1", "g1"]
 
 
 def test_ctl_audit_answers_from_folders_and_names_what_it_could_not_reach(tmp_path: Path) -> None:
@@ -345,7 +345,7 @@
         took = {int(r.version.split()[0]) for r in source.records if r.kind == "list" and r.version[0] != "N"}
         assert told <= took, (name, told, took)
     lists = [e["seq"] for e in played.of("list", b="b1", health="draining")]
-    took_it = {one.name: one.after_s for one in story.when(audits, "list", str(lists[0]))}
+    took_it = {one.name: one.after_s for one in audit_queries.when(audits, "list", str(lists[0]))}
     assert {"g0", "g1", "g2", "g5"} <= took_it.keys() and took_it.get("g3", 9.0) > 5.0  # healed
     kinds = [r.kind for r in audits["g3"]]
     assert "behind" in kinds and "brought up" in kinds
@@ -356,7 +356,7 @@
         and len([r for r in audits["g4"] if r.kind == "program"]) == 2
     )
     # The one that was called comes before all others in the order: they heard of it from there.
-    order = [r.name for r in story.trace(audits, "b2") if r.kind == "ban"]
+    order = [r.name for r in audit_queries.trace(audits, "b2") if r.kind == "ban"]
     assert order[0] == "g2"
-    for one, other in itertools.pairwise(story.in_order({"g1": audits["g1"]})):
+    for one, other in itertools.pairwise(audit_queries.in_order({"g1": audits["g1"]})):
         assert one.at < other.at
