Rename roadpulley.fleet.news to gossip_queue

Change: the module and its classes are renamed; wire forms, files on disk and settings keep their names.

--- a/fleetlab/line.py
+++ b/fleetlab/line.py
@@ -8,9 +8,9 @@
 from collections import Counter as Counts
 from collections.abc import Callable, Iterable
 
+from roadpulley.fleet.gossip_queue import GossipQueue
 from roadpulley.fleet.members import Address, Member
 from roadpulley.fleet.messages import Entry, Life, Rumor, Seal, State
-from roadpulley.fleet.news import News
 from roadpulley.fleet.node import Node
 
 WALL_MS = 1.8e12
@@ -194,7 +194,7 @@
         members = node.members
         members.others = {r.name: Member(r, net.now, net.now) for r in rumors if r is not members.me}
         members.present = dict(members.others)
-        node.news = News()
+        node.news = GossipQueue()
 
 
 def fleet(size: int, seed: int, settle_s: float = 20.0, met: bool = False) -> Net:
--- a/roadpulley/fleet/news.py
+++ b/roadpulley/fleet/gossip_queue.py
@@ -23,7 +23,7 @@
     return ENTRY_BYTES + len(piece.name) + len(piece.origin) + 2 * len(piece.value or "")
 
 
-class News:
+class GossipQueue:
     """Owns the pieces, by how often each was told: to pick some costs the same however many wait."""
 
     def __init__(self) -> None:
--- a/roadpulley/fleet/node.py
+++ b/roadpulley/fleet/node.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from .facts import Facts, key_of
+from .gossip_queue import GossipQueue
 from .hybrid import Hybrid
 from .members import ANSWER_S, PROBE_S, SILENT_S, Address, Member, Members
 from .messages import (
@@ -34,7 +35,6 @@
     State,
     Window,
 )
-from .news import News
 
 HELPERS = 3  # asked to ping a member that has not answered
 NEWS_S, NEWS_TO = 0.2, 2  # between two rounds of news of their own, and to how many; only while there are any
@@ -97,7 +97,7 @@
         self.out: list[tuple[Address, bytes]] = []
         self.ticked = now
         self.exchange_with: list[Address] = []  # whom the caller shall exchange with
-        self.news = News()
+        self.news = GossipQueue()
         self.probe: Probe | None = None
         self.favours: dict[int, Favour] = {}
         self.windows: dict[str, Window] = {}
