Rename roadpulley.fleet.behind to staleness

Change: the module and its classes are renamed; wire forms, files on disk and settings keep their names.

--- a/roadpulley/fleet/behind.py
+++ b/roadpulley/fleet/staleness.py
@@ -20,7 +20,7 @@
 Raw = dict[str, Any]  # a host in discovery's words
 
 
-class Behind:
+class StaleList:
     """Owns since when most of those here have a newer list than this gateway. Times are seconds."""
 
     def __init__(self) -> None:
@@ -86,7 +86,7 @@
     return Floors(seq, release, frozenset(configs))
 
 
-class Apart:
+class Divergence:
     """Owns since when most of those here tell another version of something than this gateway has.
 
     Nothing follows from it but that staff are told: during a release the newcomer is the one that differs.
--- a/roadpulley/fleet_recovery.py
+++ b/roadpulley/fleet_recovery.py
@@ -24,10 +24,10 @@
 from .clock import now_ms
 from .discovery import Discovery, DiscoveryError, read_list
 from .driver import Driver
-from .fleet.behind import bound_by, leaves_none, seq_of
 from .fleet.members import Members
 from .fleet.messages import LIST, MOST_HOSTS, MOST_SPENT, SPENDING, Exchange, HostRow, Listed, Spent
 from .fleet.outage import RISEN, RISEN_S, UNKNOWN, Verdict, judge, read_down
+from .fleet.staleness import bound_by, leaves_none, seq_of
 from .peers import Peers, Word
 from .recovery import Recovery
 
--- a/roadpulley/list_repair.py
+++ b/roadpulley/list_repair.py
@@ -15,8 +15,8 @@
 from .audit import Noted
 from .discovery import Discovery, DiscoveryError, read_list
 from .driver import Driver
-from .fleet.behind import Behind, agreed, leaves_none, number, seq_of
 from .fleet.messages import LIST, Exchange, Listed
+from .fleet.staleness import StaleList, agreed, leaves_none, number, seq_of
 from .peers import Peers
 from .recovery import Recovery
 
@@ -33,7 +33,7 @@
         self, driver: Driver, discovery: Discovery, recovery: Recovery, chance: random.Random
     ) -> None:
         self.driver, self.discovery, self.recovery, self.chance = driver, discovery, recovery, chance
-        self.behind = Behind()
+        self.behind = StaleList()
         self.lists: dict[str, Listed] = {}  # by their gateways
         self.seq = -1  # of the newest list that it was brought up to
         self.taken: set[tuple[str, str]] = set()  # hosts and what became of them, by others' word
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -35,9 +35,9 @@
 
 if TYPE_CHECKING:
     from .audit import Audit
-    from .fleet.behind import Apart
     from .fleet.messages import Entry, Exchange
     from .fleet.shutting import Shutting
+    from .fleet.staleness import Divergence
     from .fleet_calls import FleetCalls
     from .fleet_recovery import FleetRecovery
     from .list_repair import ListRepair
@@ -141,7 +141,7 @@
         self.shutting: Shutting | None = None  # whether it is shut out, as its list stays behind
         self.lags = ""  # what this gateway acts on that is behind
         self.drained = False  # by an operator
-        self.apart: Apart | None = None  # what most others have another version of
+        self.apart: Divergence | None = None  # what most others have another version of
         self.level: ListRepair | None = None  # whether the list here is behind theirs
         self.concert: ZoneCoordinator | None = None  # zones as one act of the fleet
         self.emptying: asyncio.Task[None] | None = None  # until nothing is left of a hand-over
@@ -296,7 +296,7 @@
             self.recovery.keep_hand(kind, name, out, since)
 
     def is_floor(self, name: str) -> bool:
-        from .fleet.behind import floors_of
+        from .fleet.staleness import floors_of
 
         return bool(floors_of([name]))
 
@@ -394,8 +394,8 @@
         """Take part in the fleet, if the configuration names one."""
         if self.config.line is None or self.peers is not None:
             return
-        from .fleet.behind import Apart
         from .fleet.facts import FOR_ALL
+        from .fleet.staleness import Divergence
         from .fleet_calls import FleetCalls
         from .peers import Peers, next_life
         from .zone_coordination import ZoneCoordinator
@@ -418,7 +418,7 @@
             if not self.beside.told.is_set():  # else the other process knows better, and has told the others
                 self.concert.recall(self.recovery.acts)
             self.concert.keep = self.recovery.keep_act
-        self.apart = Apart()
+        self.apart = Divergence()
         self.peers.node.told = self.heard
         self.peers.node.learned = self.learn
         self.peers.looked = self.look
@@ -438,7 +438,7 @@
             self.shut(self.level, self.peers)
         self.note("ready", "", "yes" if self.clients.takes_clients else "no")
 
-    def compare(self, peers: Peers, apart: Apart) -> None:
+    def compare(self, peers: Peers, apart: Divergence) -> None:
         """Tell staff where most other gateways have another configuration or program than this one."""
         node, own = peers.node, {"config": self.config.digest, "release": self.config.release}
         for kind, mine in own.items():
@@ -451,8 +451,8 @@
 
     def shut(self, level: ListRepair, peers: Peers) -> None:
         """Go out, or come back, as its list stays behind the others' and most of them grant it."""
-        from .fleet.behind import floors_of
         from .fleet.shutting import Shutting
+        from .fleet.staleness import floors_of
 
         if self.shutting is None:
             self.shutting = Shutting(peers.line.shut_out_s, self.loop.time())
--- a/tests/test_behind.py
+++ b/tests/test_behind.py
@@ -10,8 +10,8 @@
 
 from fleetlab.fixture import Plays
 from roadpulley import list_repair
-from roadpulley.fleet.behind import APART_S, BEHIND_S, Apart, Behind, agreed, number, usual
 from roadpulley.fleet.messages import Exchange, HostRow, Listed
+from roadpulley.fleet.staleness import APART_S, BEHIND_S, Divergence, StaleList, agreed, number, usual
 from roadpulley.list_repair import ListRepair
 
 HOSTS = ("h0", "h1", "h2", "h3")
@@ -30,7 +30,7 @@
 
 
 def test_behind_is_who_lacks_for_a_while_what_most_have() -> None:
-    behind = Behind()
+    behind = StaleList()
     assert not behind.look(10.0, 5, [6, 6, 5])  # two of four are not most
     assert not behind.look(20.0, 5, [6, 6, 6, 5])
     assert not behind.look(20.0 + BEHIND_S / 2, 5, [6, 6, 6, 5])
@@ -62,7 +62,7 @@
 
 
 def test_a_version_that_most_do_not_have_is_told_once_and_its_end_too() -> None:
-    apart = Apart()
+    apart = Divergence()
     others: list[str | None] = ["b", "b", "b", "a", None]
     assert usual("a", others) is None and usual("a", [*others, "b"]) == "b" and usual("a", []) is None
     newcomer: list[str | None] = ["b"] * 4
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -18,9 +18,9 @@
 from mintford import Gateway, gateway_status
 from mintford import interface as api
 from roadpulley import ctl, fleet_recovery
-from roadpulley.fleet.behind import bound_by
 from roadpulley.fleet.messages import LIST, SPENDING, Entry, Exchange, HostRow, Listed, Spent
 from roadpulley.fleet.outage import OLD_S, judge, read_down
+from roadpulley.fleet.staleness import bound_by
 from roadpulley.fleet_recovery import DOUBT_S, FleetRecovery, Stage
 
 KINDS = (
--- a/tests/test_shutting.py
+++ b/tests/test_shutting.py
@@ -14,7 +14,6 @@
 from fleetlab.fixture import Plays
 from fleetlab.line import Net, acquaint, address_of
 from roadpulley.config import parse_line
-from roadpulley.fleet.behind import Floors, floors_of
 from roadpulley.fleet.members import Address, Members
 from roadpulley.fleet.shutting import (
     GRANT,
@@ -28,6 +27,7 @@
     grants_each,
     most_out,
 )
+from roadpulley.fleet.staleness import Floors, floors_of
 
 PATIENCE_S, STEP_S = 2.0, 0.25
 
