Rename roadpulley.fleet.shutting to quarantine

Change: the module and its classes are renamed; wire forms, files on disk and settings keep their names. Measured: the linter and the type checker pass; the suite is run with the whole set of renames.

--- a/roadpulley/fleet/shutting.py
+++ b/roadpulley/fleet/quarantine.py
@@ -38,7 +38,7 @@
     return f"{life[0]} {life[1]}"
 
 
-class Shutting:
+class Quarantine:
     """Owns one gateway's part: whether it is out itself, and whom it grants it. Times are seconds."""
 
     def __init__(self, patience_s: float, began: float) -> None:
--- a/roadpulley/fleet/zonal.py
+++ b/roadpulley/fleet/zonal.py
@@ -20,7 +20,7 @@
 from .facts import ZONE_ACT, Facts
 from .messages import LONGEST_VALUE, Entry, State
 from .node import Node
-from .shutting import outside
+from .quarantine import outside
 
 MET, ON, LOAD = "zone-met", "zone-on", "load"  # kinds of facts
 DOUBT = 0.75  # backends taken to be well beside those met
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -36,7 +36,7 @@
 if TYPE_CHECKING:
     from .audit import Audit
     from .fleet.messages import Entry, Exchange
-    from .fleet.shutting import Shutting
+    from .fleet.quarantine import Quarantine
     from .fleet.staleness import Divergence
     from .fleet_calls import FleetCalls
     from .fleet_recovery import FleetRecovery
@@ -138,7 +138,7 @@
         self.peers: Peers | None = None  # the other gateways, if there is a line to them
         self.together: FleetCalls | None = None  # what operators call for all of them
         self.rejoin: FleetRecovery | None = None  # what was taken from them at the start
-        self.shutting: Shutting | None = None  # whether it is shut out, as its list stays behind
+        self.shutting: Quarantine | None = None  # whether it is shut out, as its list stays behind
         self.lags = ""  # what this gateway acts on that is behind
         self.drained = False  # by an operator
         self.apart: Divergence | None = None  # what most others have another version of
@@ -451,11 +451,11 @@
 
     def shut(self, level: ListRepair, peers: Peers) -> None:
         """Go out, or come back, as its list stays behind the others' and most of them grant it."""
-        from .fleet.shutting import Shutting
+        from .fleet.quarantine import Quarantine
         from .fleet.staleness import floors_of
 
         if self.shutting is None:
-            self.shutting = Shutting(peers.line.shut_out_s, self.loop.time())
+            self.shutting = Quarantine(peers.line.shut_out_s, self.loop.time())
         was, one = self.shutting.out, self.shutting
         spared, floors = (self.hands[kind].out if kind in self.hands else () for kind in (SPARE, FLOOR))
         given = level.own(), level.is_behind, spared, floors_of(floors)
--- a/tests/test_shutting.py
+++ b/tests/test_shutting.py
@@ -15,7 +15,7 @@
 from fleetlab.line import Net, acquaint, address_of
 from roadpulley.config import parse_line
 from roadpulley.fleet.members import Address, Members
-from roadpulley.fleet.shutting import (
+from roadpulley.fleet.quarantine import (
     GRANT,
     LEVEL_S,
     OUT,
@@ -23,7 +23,7 @@
     SHUT,
     WANTS,
     YOUNG_S,
-    Shutting,
+    Quarantine,
     grants_each,
     most_out,
 )
@@ -37,7 +37,7 @@
 
     def __init__(self, size: int, seed: int = 1) -> None:
         self.net, self.size = Net(seed), size
-        self.shuttings = [Shutting(PATIENCE_S, self.net.now) for _ in range(size)]
+        self.shuttings = [Quarantine(PATIENCE_S, self.net.now) for _ in range(size)]
         self.lists = [5] * size
         self.spared: set[str] = set()
         self.floors = Floors()
