Rename roadpulley.fleet.hybrid to hybrid_clock

Change: the module and its classes are renamed; wire forms, files on disk and settings keep their names.

--- a/roadpulley/audit.py
+++ b/roadpulley/audit.py
@@ -18,7 +18,7 @@
 
 from .clock import now_ms
 from .fleet.chain import GAP, LONGEST_TEXT, MOST_COUNTS, Head, Record
-from .fleet.hybrid import Hybrid
+from .fleet.hybrid_clock import HybridClock
 from .fleet.messages import Life
 from .segments import Writer
 
@@ -48,7 +48,7 @@
     ) -> None:
         """`counts`: acts on requests since the start."""
         self.name, self.life, self.counts = name, life, counts
-        self.order = Hybrid()  # the line's own, once there is one
+        self.order = HybridClock()  # the line's own, once there is one
         self.began = time.monotonic()
         self.held: deque[Record] = deque(maxlen=MOST_HELD)
         self.versions: dict[tuple[str, str], Record] = {}
@@ -57,7 +57,7 @@
         self.head, self.on = Head(0, ""), False
         self.writer = Writer(folder, name, self._gap, self._told) if folder is not None else None
 
-    def follow(self, order: Hybrid, life: Life) -> None:
+    def follow(self, order: HybridClock, life: Life) -> None:
         """The line is open: records stand in the order of what came over it."""
         order.last = max(order.last, self.order.last)
         self.order, self.life = order, life
--- a/roadpulley/fleet/hybrid.py
+++ b/roadpulley/fleet/hybrid_clock.py
@@ -12,7 +12,7 @@
 AHEAD_MS = 300_000  # by which clocks may differ
 
 
-class Hybrid:
+class HybridClock:
     """Owns one process's clock. `wall` is milliseconds of wall time, which may step either way."""
 
     def __init__(self) -> None:
--- a/roadpulley/fleet/node.py
+++ b/roadpulley/fleet/node.py
@@ -16,7 +16,7 @@
 
 from .facts import Facts, key_of
 from .gossip_queue import GossipQueue
-from .hybrid import Hybrid
+from .hybrid_clock import HybridClock
 from .members import ANSWER_S, PROBE_S, SILENT_S, Address, Member, Members
 from .messages import (
     LIST,
@@ -92,7 +92,7 @@
         self.members.began = lambda life: self.facts.begin(life)
         self.facts = Facts(name, life)
         self.facts.changed = self._news_of_fact
-        self.order = Hybrid()  # what is recorded here is after all that was heard
+        self.order = HybridClock()  # what is recorded here is after all that was heard
         self.number = self.seq = 0
         self.out: list[tuple[Address, bytes]] = []
         self.ticked = now
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -20,7 +20,7 @@
 from roadpulley.audit import MOST_HELD, Audit
 from roadpulley.config import ConfigError, parse_audit, parse_config
 from roadpulley.fleet.chain import FIRST, GAP, Head, Record, read, verify, write
-from roadpulley.fleet.hybrid import AHEAD_MS, Hybrid
+from roadpulley.fleet.hybrid_clock import AHEAD_MS, HybridClock
 from roadpulley.segments import MOST_SEGMENTS, AuditError, Segments, Writer, lines, paths
 
 LIFE = (7, 3)
@@ -86,7 +86,7 @@
 def test_the_order_respects_cause_whatever_the_clocks() -> None:
     """Random plays: each stamp is above all that its process had heard, with clocks minutes apart."""
     chance = random.Random(5)
-    clocks = [Hybrid() for _ in range(4)]
+    clocks = [HybridClock() for _ in range(4)]
     off = [0.0, 120_000.0, -90_000.0, 60_000.0]
     before: list[set[tuple[int, int, int]]] = [set() for _ in clocks]
     for step in range(2_000):
