--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -130,8 +130,8 @@
         self.returned: dict[int, float] = {}  # backends that they put back lately, and when
         self.subset: list[Backend] = []  # the backends that this gateway uses
         self.zones = Zones(settings, self.random)
-        self.back = RecoveryRamp()
-        self.keeping = DurableState(
+        self.recovery_ramp = RecoveryRamp()
+        self.durable_state = DurableState(
             settings, random.Random(seed)
         )  # a lot of its own: it changes nothing if off
         self.met_others = False  # wants of other gateways were read in a period of this one's
@@ -155,11 +155,13 @@
             api.BesideCame: self.on_beside_came,
             api.BesideSaid: self.on_beside_said,
             api.BesideLeft: self.on_beside_left,
-            api.KeepingTurned: lambda now, e, o: self.keeping.turn(now, e, self.customers, self.state(), o),
+            api.KeepingTurned: lambda now, e, o: self.durable_state.turn(
+                now, e, self.customers, self.state(), o
+            ),
             api.Recovered: self.on_recovered,
             api.ZoneHeld: self.on_zone_held,
-            api.Kept: lambda now, event, out: self.keeping.kept(now, event.serial, out),
-            api.Restarted: lambda now, event, out: self.keeping.begin(now, event, out),
+            api.Kept: lambda now, event, out: self.durable_state.kept(now, event.serial, out),
+            api.Restarted: lambda now, event, out: self.durable_state.begin(now, event, out),
             api.BackendsChanged: self.on_list,
             api.BackendHeld: self.on_held,
             api.RegionsChanged: lambda _, event, __: setattr(self.zones, "regions", dict(event.regions)),
@@ -230,7 +232,7 @@
         c.spent += more
         c.store -= more
         c.tokens -= more
-        self.keeping.settled(c, more)
+        self.durable_state.settled(c, more)
 
     def count(self, c: Customer, period: int, amount: float, out: api.Actions, request: str) -> None:
         name = f"{period}:" + hashlib.blake2b(c.key.encode(), digest_size=16).hexdigest()  # keys may be long
@@ -266,7 +268,7 @@
         True: the lease waits for how the last period ended, as the burst may not be paid back yet.
         """
         self.fill(now, c)
-        self.keeping.renewed(c)
+        self.durable_state.renewed(c)
         c.lease_end, rate, burst = now + LEASE_MS, c.plan.rate, c.plan.burst
         if not amount:  # how the last period ended
             others, mine, brought, read = c.begun
@@ -353,7 +355,7 @@
     def on_request(self, now: float, event: api.RequestArrived, out: api.Actions) -> None:
         if now - self.tidied_at > LEASE_MS:  # forget idle customers
             kept = {k: c for k, c in self.customers.items() if c.out or now - c.filled_at <= c.keep_ms}
-            self.keeping.forget([key for key in self.customers if key not in kept], out)
+            self.durable_state.forget([key for key in self.customers if key not in kept], out)
             self.customers, self.tidied_at = kept, now
         left = event.expires - now
         kind = self.classes.get(event.request_class) or api.RequestClass(event.request_class, left, left)
@@ -378,10 +380,10 @@
         crowded = bool(plan.open_limit) and c.out + c.elsewhere + 1 > max(1.0, plan.open_limit * c.part)
         strain = (expected := self.time_to_answer(now)) / max(kind.aim, 1.0)
         self.retries = min(RETRY_STORE, self.retries + (RETRY_CALM if strain < CALM else RETRY_SHARE))
-        returning = now < self.back.until
+        returning = now < self.recovery_ramp.until
         spare = not returning and strain < CALM and plan.beyond_earns > plan.beyond_costs
         over_ceiling = bool(plan.ceiling_rate) and c.ceiling < units
-        lacks, over = self.keeping.lacks(now, c, units)
+        lacks, over = self.durable_state.lacks(now, c, units)
         short, over_ceiling = max(short, lacks), over_ceiling or over
         beyond = over_ceiling or ((short > 0 or crowded) and not spare)
         # Refuse early what would be answered too late; a class worth more holds out longer.
@@ -389,7 +391,7 @@
         band = SHED_BAND * self.random.random() if self.floor < LEAST_OUT else 0.0
         bar = SHED_AT * (1 - SHED_SPAN * lesser)
         if returning:
-            bar = self.back.bar(now, strain, bar, lesser, self.warmth(now), self.answered_at)
+            bar = self.recovery_ramp.bar(now, strain, bar, lesser, self.warmth(now), self.answered_at)
         too_late = strain > bar + band or now + expected > request.aim_at
         backend = None if beyond or too_late else self.pick(now, request)
         if backend is None:
@@ -402,7 +404,7 @@
             return self.finish(request, out, wait, short_of if known else "backends")
         taken = units if 0 < units <= c.tokens else 0.0
         self.spend(c, taken, units, units)
-        self.keeping.spent(now, c, units, out)
+        self.durable_state.spent(now, c, units, out)
         self.tell(c, out, tokens=taken, units=units, ceiling=units)
         self.send(now, request, backend, out)
 
@@ -421,7 +423,7 @@
                 c = self.customer(now, key, plan, max(1e-3, even))
                 self.fill(now, c)
                 self.spend(c, tokens, units, ceiling)
-                self.keeping.spent(now, c, units, out)
+                self.durable_state.spent(now, c, units, out)
                 c.unsaid, c.elsewhere = c.unsaid + asked, max(0, c.elsewhere + int(away))
             case said:
                 if told := self.take(now, said):
@@ -433,7 +435,7 @@
         """Take over a row of an earlier life. Raises ValueError for what this program never wrote."""
         if event.said[:1] != ["customer"]:
             check(event.said)
-            if self.keeping.believed:
+            if self.durable_state.believed:
                 self.take(now, event.said)
                 self.created, self.recent_at, self.answered_at = (
                     min(now, at) for at in (self.created, self.recent_at, self.answered_at)
@@ -441,7 +443,7 @@
             return
         if c := self.take(now, event.said):
             try:
-                self.keeping.restore(now, c, event.at)
+                self.durable_state.restore(now, c, event.at)
             except ValueError:
                 del self.customers[c.key]
                 raise
@@ -455,7 +457,7 @@
             of_plan = self.plans.get(plan) or api.Plan(plan)  # an unknown plan has no quota to keep
             c = Customer(key, of_plan, even, now, self.created, self.settings.most_units)
             self.customers[key] = c
-            self.keeping.first(now, c)
+            self.durable_state.first(now, c)
         return c
 
     def time_to_answer(self, now: float) -> float:
@@ -529,11 +531,11 @@
 
     def on_outage(self, now: float, event: api.Outage, _: api.Actions) -> None:
         """The whole fleet lost power: so may the backends have, whatever an old list tells of their ages."""
-        self.back.begin(now, event.back + self.settings.rules.warm_within)
+        self.recovery_ramp.begin(now, event.back + self.settings.rules.warm_within)
         for b in self.backends.values():
             if b.started < event.since:
                 b.put_back(now, event.back, guessed=True)
-        self.keeping.take_turns(now, self.customers.values())
+        self.durable_state.take_turns(now, self.customers.values())
 
     def on_peer_told(self, now: float, event: api.PeerTold, _: api.Actions) -> None:
         """What a peer knows all to have left of a quota: a disk that is lost or old forgets what it spent."""
@@ -623,7 +625,7 @@
         if len(warm) < len(may):
             if owed := [b for b in may if b.owed_at <= now and b.warmth(now) < 1]:
                 return owed[0]
-            back = self.back if now < self.back.until else None
+            back = self.recovery_ramp if now < self.recovery_ramp.until else None
             b = self.cheapest(now, request, may, factors) if back else self.random.choice(may)
             lift = len(may) / max(1e-9, sum(o.warmth(now) for o in may))  # more where many are cold
             part = b.warmth(now) * min(lift, max(1.0, self.settings.rules.fall_multiple / 2))
@@ -736,8 +738,8 @@
     def on_timer(self, now: float, event: api.TimerFired, out: api.Actions) -> None:
         if event.token == "follow":
             out.append(api.FollowList())
-        if event.token == "keep" and now >= self.keeping.due - 1:
-            self.keeping.look(now, self.state(), out)
+        if event.token == "keep" and now >= self.durable_state.due - 1:
+            self.durable_state.look(now, self.state(), out)
         request = self.requests.get(event.token[1:])
         if request is None or now < request.check_at - 1:
             return
--- a/mintford/state_records.py
+++ b/mintford/state_records.py
@@ -1,4 +1,4 @@
-"""StateRecords of state, as they are told to another process or kept on disk, and taken from there. Pure.
+"""Records of state, as they are told to another process or kept on disk, and taken from there. Pure.
 
 Nothing here decides anything of a request: what is out of its range is refused whole, with a ValueError.
 """
--- a/roadpulley/audit_queries.py
+++ b/roadpulley/audit_queries.py
@@ -56,7 +56,7 @@
         have = {name: ones[kind, of] for name, ones in held.items() if (kind, of) in ones}
         usual = most(record.version for record in have.values())
         took = sorted(record.wall for record in have.values() if record.version == usual)
-        # StaleList from the moment on at which more than half had it.
+        # Behind from the moment on at which more than half had it.
         half = took[len(audits) // 2] if len(took) > len(audits) // 2 else None
         for name, record in sorted(have.items()):
             late = half is not None and record.version != usual
--- a/roadpulley/fleet_recovery.py
+++ b/roadpulley/fleet_recovery.py
@@ -296,7 +296,7 @@
         if self.held_back and time.monotonic() >= self.doubt_until:
             self.held_back = False
             self.discovery.anew()  # what it tells now holds
-        if self.stage is Stage.COLD and now_ms() >= self.driver.gateway.back.until:
+        if self.stage is Stage.COLD and now_ms() >= self.driver.gateway.recovery_ramp.until:
             took = time.monotonic() - self.stage_at
             self.turn(Stage.WHOLE, f"the backends have had their slow start, {took:.1f} s after")
         elif self.stage is Stage.WHOLE and time.monotonic() < self.risen_until:
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -127,7 +127,7 @@
                 self.recovery.keep_list(config.known)
         self.clients = ClientServer(self.driver, self.budget, self.room, self.figures, self.guard)
         self.operators = OperatorServer(self.calls(), self.budget)
-        self.beside = UpgradeHandover(
+        self.upgrade = UpgradeHandover(
             private_file(config.name, "beside.sock"),
             came=partial(self.driver.give, api.BesideCame()),
             heard=lambda said: self.driver.give(api.BesideSaid(said)),
@@ -136,14 +136,14 @@
             holds=self.share,
         )
         self.peers: Peers | None = None  # the other gateways, if there is a line to them
-        self.together: FleetCalls | None = None  # what operators call for all of them
-        self.rejoin: FleetRecovery | None = None  # what was taken from them at the start
-        self.shutting: Quarantine | None = None  # whether it is shut out, as its list stays behind
+        self.fleet_calls: FleetCalls | None = None  # what operators call for all of them
+        self.fleet_recovery: FleetRecovery | None = None  # what was taken from them at the start
+        self.quarantine: Quarantine | None = None  # whether it is shut out, as its list stays behind
         self.lags = ""  # what this gateway acts on that is behind
         self.drained = False  # by an operator
-        self.apart: Divergence | None = None  # what most others have another version of
-        self.level: ListRepair | None = None  # whether the list here is behind theirs
-        self.concert: ZoneCoordinator | None = None  # zones as one act of the fleet
+        self.divergence: Divergence | None = None  # what most others have another version of
+        self.list_repair: ListRepair | None = None  # whether the list here is behind theirs
+        self.zone_coordinator: ZoneCoordinator | None = None  # zones as one act of the fleet
         self.emptying: asyncio.Task[None] | None = None  # until nothing is left of a hand-over
         self.driver.states = self.states
 
@@ -187,11 +187,11 @@
         """The connections by state, and what is held of the descriptors."""
         of_state = self.recovery.gauges() if self.recovery is not None else {}
         of_line = self.peers.gauges() if self.peers is not None else {}
-        of_line |= self.rejoin.gauges() if self.rejoin is not None else {}
-        of_line |= self.level.gauges() if self.level is not None else {}
-        of_line |= self.concert.gauges() if self.concert is not None else {}
-        of_line |= {"fleet.differs": len(self.apart.told)} if self.apart is not None else {}
-        of_line |= {"fleet.shut_out": int(self.shutting.out)} if self.shutting is not None else {}
+        of_line |= self.fleet_recovery.gauges() if self.fleet_recovery is not None else {}
+        of_line |= self.list_repair.gauges() if self.list_repair is not None else {}
+        of_line |= self.zone_coordinator.gauges() if self.zone_coordinator is not None else {}
+        of_line |= {"fleet.differs": len(self.divergence.told)} if self.divergence is not None else {}
+        of_line |= {"fleet.shut_out": int(self.quarantine.out)} if self.quarantine is not None else {}
         of_line |= self.audit.gauges() if self.audit is not None else {}
         return self.clients.gauges() | self.backends.gauges() | self.budget.gauges() | of_state | of_line
 
@@ -205,10 +205,10 @@
         if self.peers is None:
             return Said(404, "no such path\n")
         shown = self.peers.shown()
-        if self.rejoin is not None:
-            shown["recovery"] = self.rejoin.shown()
-        if self.concert is not None:
-            shown["zones"] = self.concert.shown()
+        if self.fleet_recovery is not None:
+            shown["recovery"] = self.fleet_recovery.shown()
+        if self.zone_coordinator is not None:
+            shown["zones"] = self.zone_coordinator.shown()
         return Said(200, json.dumps(shown) + "\n")
 
     def audited(self) -> Said:
@@ -238,7 +238,7 @@
 
     def hold(self, kind: str, out: bool, name: str, fleet: bool) -> Said | Later:
         """Take a backend or a zone out, or put it back; here, or at all gateways."""
-        if fleet and self.together is None:
+        if fleet and self.fleet_calls is None:
             return Said(503, "there is no line to other gateways\n")
         said = self.hold_here(kind, out, name)
         return self.hold_all(said, kind, out, name) if fleet else said
@@ -246,11 +246,11 @@
     async def hold_all(self, said: Said | Later, kind: str, out: bool, name: str) -> Said:
         """First here, then at the others."""
         here = said if isinstance(said, Said) else await said
-        if here is not YES or self.together is None:
+        if here is not YES or self.fleet_calls is None:
             return here
         from .fleet.facts import FOR_ALL
 
-        return await self.together.tell(FOR_ALL[kind], name, out)
+        return await self.fleet_calls.tell(FOR_ALL[kind], name, out)
 
     def hold_here(self, kind: str, out: bool, name: str) -> Said | Later:
         if kind not in self.hands:
@@ -329,10 +329,12 @@
                 from .list_repair import ListRepair
 
                 index = self.config.settings.index
-                self.rejoin = FleetRecovery(self.hands, self.recovery, self.driver, self.discovery, index)
+                self.fleet_recovery = FleetRecovery(
+                    self.hands, self.recovery, self.driver, self.discovery, index
+                )
                 chance = random.Random(f"{self.config.seed} level")
-                self.level = ListRepair(self.driver, self.discovery, self.recovery, chance)
-                self.rejoin.noted = self.level.noted = self.note
+                self.list_repair = ListRepair(self.driver, self.discovery, self.recovery, chance)
+                self.fleet_recovery.noted = self.list_repair.noted = self.note
 
     def begin_audit(self) -> None:
         config = self.config
@@ -353,25 +355,27 @@
     async def open(self) -> int:
         """Begin to serve; gives the port."""
         await self.hear_discovery()
-        await self.beside.take_over()
-        took_over = self.beside.told.is_set()
-        if self.rejoin is not None:
-            await self.hear_fleet(self.rejoin, took_over)
+        await self.upgrade.take_over()
+        took_over = self.upgrade.told.is_set()
+        if self.fleet_recovery is not None:
+            await self.hear_fleet(self.fleet_recovery, took_over)
         if self.recovery is not None:
-            await self.recovery.restore(took_over, self.rejoin is None or not self.rejoin.verdict.old)
+            await self.recovery.restore(
+                took_over, self.fleet_recovery is None or not self.fleet_recovery.verdict.old
+            )
         if self.config.operator is not None:
             await self.operators.listen_soon(self.config.operator)
-        if self.rejoin is not None and not took_over:
-            await self.rejoin.catch_up()
+        if self.fleet_recovery is not None and not took_over:
+            await self.fleet_recovery.catch_up()
         listener = inherited() or await listening_in_time(self.config.listen, BACKLOG, LISTEN_WITHIN_S)
         port = self.clients.listen(listener)
         gc.collect()
         gc.freeze()  # what was loaded stays: no pause to look at it again
         log.info("%s serves at %s:%d", self.config.name, self.config.listen[0], port)
-        self.beside.serving()
+        self.upgrade.serving()
         if self.recovery is not None and took_over:
             self.recovery.take_files()
-        await self.beside.listen()
+        await self.upgrade.listen()
         await self.join()
         return port
 
@@ -403,22 +407,22 @@
         chance = random.Random(f"{self.config.seed} line")
         life = next_life(self.config.state, chance)
         self.peers = Peers(self.config.name, self.config.line, life, chance, self.words)
-        if self.together is None:
-            self.together = FleetCalls({FOR_ALL[kind]: bans for kind, bans in self.hands.items()})
-        self.together.attach(self.peers)
-        if self.rejoin is not None:
-            self.rejoin.attach(self.peers)
-        if self.concert is None:
-            self.concert = ZoneCoordinator(self.driver, random.Random(f"{self.config.seed} zones"))
-            self.concert.noted = self.note
+        if self.fleet_calls is None:
+            self.fleet_calls = FleetCalls({FOR_ALL[kind]: bans for kind, bans in self.hands.items()})
+        self.fleet_calls.attach(self.peers)
+        if self.fleet_recovery is not None:
+            self.fleet_recovery.attach(self.peers)
+        if self.zone_coordinator is None:
+            self.zone_coordinator = ZoneCoordinator(self.driver, random.Random(f"{self.config.seed} zones"))
+            self.zone_coordinator.noted = self.note
         if self.audit is not None:
             self.audit.follow(self.peers.node.order, life)
-        self.concert.attach(self.peers)
+        self.zone_coordinator.attach(self.peers)
         if self.recovery is not None:
-            if not self.beside.told.is_set():  # else the other process knows better, and has told the others
-                self.concert.recall(self.recovery.acts)
-            self.concert.keep = self.recovery.keep_act
-        self.apart = Divergence()
+            if not self.upgrade.told.is_set():  # else the other process knows better, and has told the others
+                self.zone_coordinator.recall(self.recovery.acts)
+            self.zone_coordinator.keep = self.recovery.keep_act
+        self.divergence = Divergence()
         self.peers.node.told = self.heard
         self.peers.node.learned = self.learn
         self.peers.looked = self.look
@@ -426,16 +430,16 @@
 
     def look(self) -> None:
         """Called now and then, while there is a line."""
-        if self.together is not None:
-            self.together.look()
-        if self.rejoin is not None:
-            self.rejoin.look()
-        if self.peers is not None and self.apart is not None:
-            self.compare(self.peers, self.apart)
-        out = self.shutting is not None and self.shutting.out
-        if self.level is not None and self.peers is not None and (self.clients.takes_clients or out):
-            self.level.look(self.peers)
-            self.shut(self.level, self.peers)
+        if self.fleet_calls is not None:
+            self.fleet_calls.look()
+        if self.fleet_recovery is not None:
+            self.fleet_recovery.look()
+        if self.peers is not None and self.divergence is not None:
+            self.compare(self.peers, self.divergence)
+        out = self.quarantine is not None and self.quarantine.out
+        if self.list_repair is not None and self.peers is not None and (self.clients.takes_clients or out):
+            self.list_repair.look(self.peers)
+            self.shut(self.list_repair, self.peers)
         self.note("ready", "", "yes" if self.clients.takes_clients else "no")
 
     def compare(self, peers: Peers, apart: Divergence) -> None:
@@ -454,9 +458,9 @@
         from .fleet.quarantine import Quarantine
         from .fleet.staleness import floors_of
 
-        if self.shutting is None:
-            self.shutting = Quarantine(peers.line.shut_out_s, self.loop.time())
-        was, one = self.shutting.out, self.shutting
+        if self.quarantine is None:
+            self.quarantine = Quarantine(peers.line.shut_out_s, self.loop.time())
+        was, one = self.quarantine.out, self.quarantine
         spared, floors = (self.hands[kind].out if kind in self.hands else () for kind in (SPARE, FLOOR))
         given = level.own(), level.is_behind, spared, floors_of(floors)
         out = one.look(peers.node, self.loop.time(), now_ms(), *given)
@@ -481,17 +485,17 @@
 
     def heard(self, entry: Entry) -> None:
         """A fact is new here."""
-        if self.together is not None:
-            self.together.heard(entry)
-        if self.concert is not None:
-            self.concert.heard(entry)
+        if self.fleet_calls is not None:
+            self.fleet_calls.heard(entry)
+        if self.zone_coordinator is not None:
+            self.zone_coordinator.heard(entry)
 
     def learn(self, told: Exchange) -> None:
         """Another gateway told what it was asked for."""
-        if self.rejoin is not None:
-            self.rejoin.learn(told)
-        if self.level is not None:
-            self.level.learn(told)
+        if self.fleet_recovery is not None:
+            self.fleet_recovery.learn(told)
+        if self.list_repair is not None:
+            self.list_repair.learn(told)
 
     def part(self, leave: bool) -> None:
         """Take part no more; said to the others where this gateway ends, and not only this process."""
@@ -499,14 +503,14 @@
             if leave:
                 self.peers.leave()
             self.peers.close()
-            self.peers = self.together = None
-        if self.concert is not None:
-            self.concert.close()
-            self.concert = self.apart = None
-        if self.shutting is not None:
-            if self.shutting.out and not (self.drained or self.clients.ending):
+            self.peers = self.fleet_calls = None
+        if self.zone_coordinator is not None:
+            self.zone_coordinator.close()
+            self.zone_coordinator = self.divergence = None
+        if self.quarantine is not None:
+            if self.quarantine.out and not (self.drained or self.clients.ending):
                 self.clients.stay()
-            self.shutting = None
+            self.quarantine = None
             self.lag("")
 
     def words(self) -> Iterator[Word]:
@@ -524,8 +528,8 @@
         yield Word("index", "", str(self.config.settings.index))
         if self.audit is not None and self.audit.on:
             yield Word("audit", "", f"{self.audit.head.n} {self.audit.head.sum}")
-        if self.rejoin is not None:
-            yield from self.rejoin.words()
+        if self.fleet_recovery is not None:
+            yield from self.fleet_recovery.words()
         for kind, bans in self.hands.items():
             for name, at in list(bans.out.items())[-MOST_TOLD:]:
                 yield Word(kind, name, "down", at)
@@ -545,7 +549,7 @@
     # ---- beside another process of this gateway, in an upgrade ----
 
     def tell(self, said: list[Any]) -> None:
-        self.beside.tell(said)
+        self.upgrade.tell(said)
 
     def hand_over(self) -> None:
         """The new process takes clients: what is open here ends, and then this process does."""
@@ -561,7 +565,7 @@
     async def empty(self) -> None:
         """Tell how many descriptors are held, until nothing is left to do here."""
         while self.clients.holds_clients or self.driver.requests:
-            self.beside.tell([HOLDS, self.budget.total])
+            self.upgrade.tell([HOLDS, self.budget.total])
             await asyncio.sleep(HOLDS_S)
         self.stop.set()
 
@@ -635,7 +639,7 @@
         if self.emptying is not None:
             self.emptying.cancel()
         self.part(leave=False)
-        self.beside.close()
+        self.upgrade.close()
         self.operators.close()
         self.clients.close()
         self.backends.close()
--- a/tests/test_keeping.py
+++ b/tests/test_durable_state.py
@@ -305,7 +305,7 @@
     disk = Disk()
     for number in range(MOST_KEPT + 50):
         disk.ask(customer=f"c{number}")
-    keeping = disk.world.gateway.keeping
+    keeping = disk.world.gateway.durable_state
     assert keeping.rows == MOST_KEPT
     disk.commit()
     assert len(disk.rows) <= MOST_KEPT + 10
@@ -345,23 +345,23 @@
         world.ask()
         world.pass_time(1_000)
     assert not any(isinstance(a, api.Keep) for _, a in world.log)
-    assert not world.gateway.keeping.reserves
+    assert not world.gateway.durable_state.reserves
 
 
 def test_what_another_process_lets_in_is_reserved_too() -> None:
     disk = Disk()
     disk.ask()
     disk.commit()
-    ahead = disk.world.gateway.keeping.reserves["c"].ahead
+    ahead = disk.world.gateway.durable_state.reserves["c"].ahead
     disk.give(api.BesideSaid(["spent", "c", "basic", 0.5, 0, 1, 1, 1, 0]))
-    assert disk.world.gateway.keeping.reserves["c"].ahead == ahead - 1
+    assert disk.world.gateway.durable_state.reserves["c"].ahead == ahead - 1
 
 
 def test_true_units_are_spent_whatever_was_reserved() -> None:
     disk = Disk()
     disk.ask()
     disk.commit()
-    reserve = disk.world.gateway.keeping.reserves["c"]
+    reserve = disk.world.gateway.durable_state.reserves["c"]
     (send,) = sends(disk.note(disk.world.ask()))
     disk.note(
         disk.give(api.AttemptEnded(send.request, 0, send.backend, api.Outcome.OK, 1.0, True, settled=3.0))
