--- a/fleetlab/launch.py
+++ b/fleetlab/launch.py
@@ -83,7 +83,7 @@
 
 def deaf() -> None:
     """It does not hear of drains and removals, nor keep to operators' bans."""
-    from mintford import interface, rules
+    from mintford import entities, interface, rules
     from roadpulley import backends
 
     replace(rules.Gateway, "usable", lambda self, b: b.ready)
@@ -93,15 +93,15 @@
         before(self, entry)
         self.ready = entry.state is not interface.BackendState.GONE
 
-    before = replace(rules.Backend, "update", update)
+    before = replace(entities.Backend, "update", update)
     replace(backends.Backends, "retire", lambda self, backend: None)
 
 
 def eager() -> None:
     """It knows of no cold backends, ceilings or quotas."""
-    from mintford import rules
+    from mintford import entities, rules
 
-    replace(rules.Backend, "warmth", lambda self, now: 1.0)
+    replace(entities.Backend, "warmth", lambda self, now: 1.0)
 
     def admit(self: Any, now: float, request: Any, out: Any) -> None:
         customer = request.customer
--- a/mintford/gateway_status.py
+++ b/mintford/gateway_status.py
@@ -6,7 +6,9 @@
 from dataclasses import dataclass, field
 
 from . import interface as api
-from .rules import EJECTED, Backend, Gateway
+from .backend_choice import EJECTED
+from .entities import Backend
+from .rules import Gateway
 from .zones import BAD, SHARE_MS, State, Zone, Zones
 
 SLOW_TIMES = 2.5  # of the usual time, and for a cold one of what it takes: a backend counts as slow
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -13,7 +13,7 @@
 
 from mintford import Gateway, gateway_status
 from mintford import interface as api
-from mintford.rules import NEVER_RAN
+from mintford.entities import NEVER_RAN
 from mintford.shares import PRESSED, FairShares
 
 from .backends import Attempt, Backends
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING, Any
 
 from mintford import interface as api
-from mintford.rules import PERIOD_MS
+from mintford.leases import PERIOD_MS
 
 from .accept import inherited, listening_in_time
 from .backends import Backends
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -8,7 +8,7 @@
 from helpers import BASIC, World, backends, entry, refusals, sends
 
 from mintford import interface as api
-from mintford.rules import Attempt, Request
+from mintford.entities import Attempt, Request
 
 WIDE = api.Plan("basic")  # no quota, so that only the back end decides
 OPEN = dict(plans=(WIDE,), may_count=False)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -6,7 +6,9 @@
 from helpers import BASIC, World, counts, entry, refusals, sends
 
 from mintford import interface as api
-from mintford.rules import CHANCE_PART, EVENLY, LEASE_MS, PERIOD_MS, REFRESH_MS
+from mintford.customers import LEASE_MS
+from mintford.leases import EVENLY, PERIOD_MS, REFRESH_MS
+from mintford.rules import CHANCE_PART
 
 
 def drain(world: World, tries: int, gap: float = 0.0, **ask: object) -> int:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,9 +7,9 @@
 ROOT = Path(__file__).parents[1]
 
 
-MOST_LINES = 810  # of one module: the longest as it stands, and none may grow past it
+MOST_LINES = 800  # of one module: none may grow past it
 # Of the module's files, those that decide nothing: types, the adapter, rows of state, what is shown.
-UNDECIDED = {"__init__.py", "interface.py", "wirehost.py", "rows.py", "shown.py"}
+UNDECIDED = {"__init__.py", "interface.py", "wirehost.py", "state_records.py", "gateway_status.py"}
 
 
 def test_no_module_is_long_and_all_that_decide_are_named() -> None:
