--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -17,8 +17,9 @@
 from mintford.shares import PRESSED, FairShares
 
 from .backends import Attempt, Backends
-from .clients import Command, Slot, bulk
+from .clients import Slot
 from .clock import Timer, Timers, now_ms
+from .commands import Command, bulk
 from .counter import Counter
 from .descriptors import Part
 from .discovery import Member, host_number
@@ -36,6 +37,8 @@
 MOST_TOLD = 1_024  # backends that are remembered by their numbers, and zones by their names
 UNFIT, LONGEST_ZONE = re.compile(r"[^A-Za-z0-9_-]"), 64  # in a zone's name, for a figure's; characters
 REPEAT_MARGIN_MS = 50.0  # before a key's window ends: a repeat is on its way that long at most
+# Outcomes of attempts that the log tells one by one, within its bound on lines of a kind.
+WORTH_A_LINE = {api.Outcome.RESET, api.Outcome.CONNECT, api.Outcome.TIMED_OUT, api.Outcome.IGNORED}
 LONGEST_WAIT_MS = 60_000.0  # that a client can ask for; the longest deadlines are well under it
 LONGEST_BODY_MS = 120_000.0  # for a long value to come in; a client that stalls is left long before
 
@@ -338,6 +341,8 @@
     ) -> None:
         request = owner.command.id
         self.seen["attempts " + outcome.value] += 1
+        if outcome in WORTH_A_LINE:
+            self.tell_of_attempt(request, number, attempt, outcome, now_ms() - sent_at)
         del self.attempts[request, number], owner.live[number]
         if outcome in NEVER_RAN:
             owner.written.pop(number, None)
@@ -356,6 +361,19 @@
         cost = attempt.cost if outcome is api.Outcome.OK else 0.0
         self.give(api.AttemptEnded(request, number, attempt.backend, outcome, lag, finished, cost, spent))
 
+    def tell_of_attempt(
+        self, request: str, number: int, attempt: Attempt, outcome: api.Outcome, lag: float
+    ) -> None:
+        """Log an attempt that ended by a fault: whose it was, where, and how."""
+        log.info(
+            "request %s attempt %d at backend %x ended: %s after %.0f ms",
+            request,
+            number,
+            attempt.backend,
+            outcome.value,
+            lag,
+        )
+
     def hindrance(self, owner: Request, now: float) -> api.Outcome | None:
         """Why no byte of an attempt must leave now: the one guard of sending and of repeating.
 
--- a/roadpulley/program.py
+++ b/roadpulley/program.py
@@ -56,6 +56,10 @@
         watch.cancel()
         following.cancel()
         service.close()
+        violated = {one.value: number for one, number in service.guard.violations.items()}
+        log.info(
+            "ended; faults contained %d, violated %s", service.guard.contained.total(), violated or "none"
+        )
 
 
 async def run(path: str, config: Config) -> None:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -31,7 +31,8 @@
 from mintford.shares import FairShares
 from roadpulley import accept, clients
 from roadpulley.accept import Acceptor, Pace
-from roadpulley.clients import ClientConnection, ClientServer, Command, Slot, parse_command
+from roadpulley.clients import ClientConnection, ClientServer, Slot
+from roadpulley.commands import Command, parse_command
 from roadpulley.config import ConfigError, load_config, parse_config
 from roadpulley.descriptors import FIXED, LEAST, OWN, Budget, Part, Shares
 from roadpulley.figures import Evicted, Figures
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -13,8 +13,9 @@
 from fleetlab.sockets import LOCAL, until
 from mintford import interface as api
 from roadpulley.backends import Backends
-from roadpulley.clients import ClientConnection, ClientServer, Slot, parse_command
+from roadpulley.clients import ClientConnection, ClientServer, Slot
 from roadpulley.clock import Timers
+from roadpulley.commands import parse_command
 from roadpulley.descriptors import Budget
 from roadpulley.driver import FAILED, REPEAT_MARGIN_MS, Driver, Request
 from roadpulley.figures import Figures
