--- a/roadpulley/fleet/node.py
+++ b/roadpulley/fleet/node.py
@@ -15,7 +15,8 @@
 import msgspec
 
 from .facts import Facts, key_of
-from .hybrid import Hybrid
+from .gossip_queue import GossipQueue
+from .hybrid_clock import HybridClock
 from .members import ANSWER_S, PROBE_S, SILENT_S, Address, Member, Members
 from .messages import (
     LIST,
@@ -34,7 +35,6 @@
     State,
     Window,
 )
-from .news import News
 
 HELPERS = 3  # asked to ping a member that has not answered
 NEWS_S, NEWS_TO = 0.2, 2  # between two rounds of news of their own, and to how many; only while there are any
@@ -92,12 +92,12 @@
         self.members.began = lambda life: self.facts.begin(life)
         self.facts = Facts(name, life)
         self.facts.changed = self._news_of_fact
-        self.order = Hybrid()  # what is recorded here is after all that was heard
+        self.order = HybridClock()  # what is recorded here is after all that was heard
         self.number = self.seq = 0
         self.out: list[tuple[Address, bytes]] = []
         self.ticked = now
         self.exchange_with: list[Address] = []  # whom the caller shall exchange with
-        self.news = News()
+        self.news = GossipQueue()
         self.probe: Probe | None = None
         self.favours: dict[int, Favour] = {}
         self.windows: dict[str, Window] = {}
--- a/roadpulley/fleet/shutting.py
+++ b/roadpulley/fleet/quarantine.py
@@ -10,10 +10,10 @@
 import math
 from collections.abc import Collection
 
-from .behind import Floors, number, seq_of
 from .facts import Facts
 from .messages import Life, State
 from .node import Node
+from .staleness import Floors, number, seq_of
 
 SHUT, GRANT = "shut", "shut-grant"  # kinds of facts: of a straggler itself; of others, named after it
 WANTS, OUT = "wants", "out"
@@ -38,7 +38,7 @@
     return f"{life[0]} {life[1]}"
 
 
-class Shutting:
+class Quarantine:
     """Owns one gateway's part: whether it is out itself, and whom it grants it. Times are seconds."""
 
     def __init__(self, patience_s: float, began: float) -> None:
--- a/roadpulley/rejoin.py
+++ b/roadpulley/fleet_recovery.py
@@ -16,18 +16,18 @@
 from enum import IntEnum
 from typing import Any
 
+from mintford import gateway_status
 from mintford import interface as api
-from mintford import shown
 
 from .audit import Noted
 from .bans import Bans
 from .clock import now_ms
 from .discovery import Discovery, DiscoveryError, read_list
 from .driver import Driver
-from .fleet.behind import bound_by, leaves_none, seq_of
 from .fleet.members import Members
 from .fleet.messages import LIST, MOST_HOSTS, MOST_SPENT, SPENDING, Exchange, HostRow, Listed, Spent
 from .fleet.outage import RISEN, RISEN_S, UNKNOWN, Verdict, judge, read_down
+from .fleet.staleness import bound_by, leaves_none, seq_of
 from .peers import Peers, Word
 from .recovery import Recovery
 
@@ -52,7 +52,7 @@
     WHOLE = 4
 
 
-class Rejoin:
+class FleetRecovery:
     """Owns what was taken from the others, and the stage of this gateway's return.
 
     What is out by hand follows the fleet's word where it came from there; else this gateway's own calls.
@@ -114,7 +114,7 @@
         """What is spent of quotas, as this one knows; None as long as it asks itself."""
         if not self.ready:
             return None
-        told = shown.spending(self.driver.gateway, now_ms(), MOST_SPENT)
+        told = gateway_status.spending(self.driver.gateway, now_ms(), MOST_SPENT)
         return [Spent(one.key, one.plan, one.even, one.left) for one in told]
 
     def settle(self) -> None:
@@ -296,7 +296,7 @@
         if self.held_back and time.monotonic() >= self.doubt_until:
             self.held_back = False
             self.discovery.anew()  # what it tells now holds
-        if self.stage is Stage.COLD and now_ms() >= self.driver.gateway.back.until:
+        if self.stage is Stage.COLD and now_ms() >= self.driver.gateway.recovery_ramp.until:
             took = time.monotonic() - self.stage_at
             self.turn(Stage.WHOLE, f"the backends have had their slow start, {took:.1f} s after")
         elif self.stage is Stage.WHOLE and time.monotonic() < self.risen_until:
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -15,13 +15,13 @@
 from hypothesis import strategies as st
 
 from fleetlab.line import WALL_MS, Net, fleet
-from mintford import Gateway, shown
+from mintford import Gateway, gateway_status
 from mintford import interface as api
-from roadpulley import ctl, rejoin
-from roadpulley.fleet.behind import bound_by
+from roadpulley import ctl, fleet_recovery
 from roadpulley.fleet.messages import LIST, SPENDING, Entry, Exchange, HostRow, Listed, Spent
 from roadpulley.fleet.outage import OLD_S, judge, read_down
-from roadpulley.rejoin import DOUBT_S, Rejoin, Stage
+from roadpulley.fleet.staleness import bound_by
+from roadpulley.fleet_recovery import DOUBT_S, FleetRecovery, Stage
 
 KINDS = (
     api.RequestClass("kalkyl", 1_500.0, 4_000.0, 3.0, api.Effect.SAFE),
@@ -169,7 +169,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     kept: Any = Kept("h1", "h2")
-    one = Rejoin({}, kept, cast(Any, None), kept, 0)
+    one = FleetRecovery({}, kept, cast(Any, None), kept, 0)
     assert kept.weigh({"seq": 9, "whole": True, "hosts": []}) is None and one.held_back
     older = {"seq": 3, "whole": True, "hosts": [{"host": "h2", "health": "draining"}]}
     found = kept.weigh(older)
@@ -186,7 +186,7 @@
     knows, lost = module(), module()
     for number in range(10):
         ask(knows, 1e6 + number, number, "bas")
-    (told,) = shown.spending(knows, 1e6 + 20, 10)
+    (told,) = gateway_status.spending(knows, 1e6 + 20, 10)
     assert told.key == "cbas" and told.left == pytest.approx(14.0, abs=0.1)  # its even share: six
     for word in (told, api.PeerTold("cbas", "bas", told.even, 18.0)):  # a liar's, or an older one's
         lost.handle(1e6 + 20, word)
@@ -222,7 +222,7 @@
     after = [module(seed=seed) if gone else old for gone, old in zip(lost, set_of, strict=True)]
     for teller, (number, gateway) in itertools.product(heard, enumerate(after)):
         if teller != number:
-            for told in shown.spending(after[teller], now, 10):
+            for told in gateway_status.spending(after[teller], now, 10):
                 gateway.handle(now, told)
     given_out = sum(gateway.customer(now, "cbas", "bas", 1 / 3).tokens for gateway in after)
     whole = [number for number, gone in enumerate(lost) if not gone]
@@ -282,7 +282,7 @@
     used = admitted(gateway, rate, 200.0, 6.0, now)
     asked = [0.1 / (0.2 + 0.8 * (second + 0.5) / 16) for second in range(6)]
     assert sum(used[2:5]) > 0.8 * sum(asked[2:5])  # by the lot alone it would be about a third
-    assert gateway.back.lift > 2
+    assert gateway.recovery_ramp.lift > 2
 
 
 def test_silence_lifts_no_lot() -> None:
@@ -291,7 +291,7 @@
     sent = 0
     for number in range(300):  # three seconds, and nobody answers
         sent += any(isinstance(a, api.Send) for a in ask(gateway, now + number * 10, number))
-    assert gateway.back.lift == 1.0 and sent < 0.5 * 300
+    assert gateway.recovery_ramp.lift == 1.0 and sent < 0.5 * 300
 
 
 def test_the_stage_ends_with_the_slow_start_and_on_discovery_s_word_of_a_warm_backend() -> None:
@@ -301,7 +301,7 @@
     entry = api.BackendEntry(0, "a", 0, now - 2_000, api.BackendState.READY)
     gateway.handle(now + 100, api.BackendsChanged(api.ListScope.CHANGES, (entry,)))
     assert gateway.backends[0].warmth(now + 100) == pytest.approx(0.2 + 0.8 * 2_100 / 16_000)
-    assert gateway.back.until == now + 16_000
+    assert gateway.recovery_ramp.until == now + 16_000
     ask(gateway, now + 16_001, 1)
     assert gateway.warmth(now + 16_001) == 1.0
 
@@ -384,11 +384,11 @@
 
 
 def test_no_wait_for_one_that_never_answers_is_longer_than_its_bound(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(rejoin, "SPENDING_S", 0.1)
+    monkeypatch.setattr(fleet_recovery, "SPENDING_S", 0.1)
     kept: Any = Kept("h1")
     kept.down_s, kept.restored = (lambda: math.nan), 0
     driver: Any = SimpleNamespace(settings=SimpleNamespace(gateways=2), withheld=0)
-    one = Rejoin({}, kept, driver, kept, 0)
+    one = FleetRecovery({}, kept, driver, kept, 0)
     one.attach(cast(Any, Neighbour()))
 
     async def begin() -> set[str]:
@@ -404,7 +404,7 @@
 
 def test_a_process_that_takes_over_answers_and_begins_no_recovery() -> None:
     kept: Any = Kept("h1")
-    one = Rejoin({}, kept, cast(Any, SimpleNamespace(gateway=module(), withheld=0)), kept, 3)
+    one = FleetRecovery({}, kept, cast(Any, SimpleNamespace(gateway=module(), withheld=0)), kept, 3)
     assert one.spent() is None and [word.value for word in one.words()] == ["2.0"]
     one.settle()
     assert one.spent() == [] and [word.value for word in one.words()] == [None]
--- a/tests/test_behind.py
+++ b/tests/test_staleness.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies as st
 
 from fleetlab.fixture import Plays
-from roadpulley import level
-from roadpulley.fleet.behind import APART_S, BEHIND_S, Apart, Behind, agreed, number, usual
+from roadpulley import list_repair
 from roadpulley.fleet.messages import Exchange, HostRow, Listed
-from roadpulley.level import Level
+from roadpulley.fleet.staleness import APART_S, BEHIND_S, Divergence, StaleList, agreed, number, usual
+from roadpulley.list_repair import ListRepair
 
 HOSTS = ("h0", "h1", "h2", "h3")
 HEALTHS = st.sampled_from(["up", "draining", "gone"])
@@ -30,7 +30,7 @@
 
 
 def test_behind_is_who_lacks_for_a_while_what_most_have() -> None:
-    behind = Behind()
+    behind = StaleList()
     assert not behind.look(10.0, 5, [6, 6, 5])  # two of four are not most
     assert not behind.look(20.0, 5, [6, 6, 6, 5])
     assert not behind.look(20.0 + BEHIND_S / 2, 5, [6, 6, 6, 5])
@@ -62,7 +62,7 @@
 
 
 def test_a_version_that_most_do_not_have_is_told_once_and_its_end_too() -> None:
-    apart = Apart()
+    apart = Divergence()
     others: list[str | None] = ["b", "b", "b", "a", None]
     assert usual("a", others) is None and usual("a", [*others, "b"]) == "b" and usual("a", []) is None
     newcomer: list[str | None] = ["b"] * 4
@@ -81,7 +81,7 @@
 
 
 class Stuck:
-    """Stands in for the parts that `Level` joins: its own agent's list, and who hears of changes."""
+    """Stands in for the parts that `ListRepair` joins: its own agent's list, and who hears of changes."""
 
     version: int | None = 5
 
@@ -97,7 +97,7 @@
 
 def test_a_list_is_brought_up_once_by_two_alike_and_not_by_one_however_often() -> None:
     stuck: Any = Stuck()
-    one = Level(stuck, stuck, stuck, cast(Any, None))
+    one = ListRepair(stuck, stuck, stuck, cast(Any, None))
     one.is_behind = True
 
     def tell(sender: str, what: Listed) -> None:
@@ -117,7 +117,7 @@
     assert stuck.changes[2:] == [("gone",)]  # h2: that is two
     tell("g5", listed(9, **everything))
     assert len(stuck.changes) == 3  # nobody is left without any backend on others' word
-    assert len(one.lists) <= level.MOST_LISTS
+    assert len(one.lists) <= list_repair.MOST_LISTS
 
 
 @pytest.mark.timeout(120)
