--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -614,7 +614,7 @@
         """The last drain: nothing is accepted any more once the front has noticed, and what is open ends."""
         log.info("draining")
         self.note("ending", "", "", "SIGTERM")
-        self.part(leave=not self.clients.handed)
+        self.guard.call("leaving the fleet", self.part, not self.clients.handed)
         last_answers = self.loop.time() + self.longest_drain()
         self.clients.end(NOTICE_S)
         if not self.clients.handed:
@@ -636,17 +636,18 @@
         return min(longest / 1000, LONGEST_DEADLINE_S) + KILLED_AFTER_S - LAST_ANSWERS_S
 
     def close(self) -> None:
+        """Let go of all parts; one that fails to close keeps no other from it."""
         if self.emptying is not None:
             self.emptying.cancel()
-        self.part(leave=False)
-        self.upgrade.close()
-        self.operators.close()
-        self.clients.close()
-        self.backends.close()
+        self.guard.call("leaving the fleet", self.part, False)
+        self.guard.call("closing the hand-over", self.upgrade.close)
+        self.guard.call("closing the operators' address", self.operators.close)
+        self.guard.call("closing clients' connections", self.clients.close)
+        self.guard.call("closing backends' connections", self.backends.close)
         if self.counter is not None:
-            self.counter.close()
+            self.guard.call("closing the counter's connections", self.counter.close)
         if self.recovery is not None:
-            self.recovery.close()
+            self.guard.call("closing the state on disk", self.recovery.close)
         if self.audit is not None:
-            self.audit.close()
-        self.budget.close()
+            self.guard.call("closing the audit", self.audit.close)
+        self.guard.call("closing the spare descriptor", self.budget.close)
