The log's bound on lines counts monotonic time

With the wall clock set back by an hour, a kind of line that had reached its bound was kept back for that hour. Change: the bound's span is monotonic.

--- a/roadpulley/logs.py
+++ b/roadpulley/logs.py
@@ -4,6 +4,7 @@
 
 import logging
 import sys
+import time
 
 PERIOD_S = 10.0
 MOST_LINES = 5  # of one kind in a period: enough to see what comes, whatever its rate
@@ -17,13 +18,13 @@
         self.periods: dict[str, tuple[float, int]] = {}  # by the text before its values: begin and lines
 
     def filter(self, record: logging.LogRecord) -> bool:
-        kind = str(record.msg)
-        begin, lines = self.periods.get(kind, (record.created, 0))
-        if record.created - begin >= PERIOD_S:
+        kind, now = str(record.msg), time.monotonic()  # the record's own time is of the wall clock
+        begin, lines = self.periods.get(kind, (now, 0))
+        if now - begin >= PERIOD_S:
             if lines > MOST_LINES:
                 record.msg = f"{record.getMessage()} (and {lines - MOST_LINES} like it before)"
                 record.args = ()
-            begin, lines = record.created, 0
+            begin, lines = now, 0
         self.periods[kind] = begin, lines + 1
         return lines < MOST_LINES
 
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 
 import pytest
@@ -13,6 +14,7 @@
 from fleetlab.alone import in_loop
 from fleetlab.sockets import until
 from mintford import interface as api
+from roadpulley.logs import MOST_LINES, PERIOD_S, RateLimit
 
 HOUR_MS = 3_600_000.0
 
@@ -78,6 +80,20 @@
     assert world.gateway.customers["c10"].heard
 
 
+def test_a_clock_set_back_keeps_no_line_of_the_log_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    limit, now = RateLimit(), [100.0]
+    monkeypatch.setattr("roadpulley.logs.time.monotonic", lambda: now[0])
+
+    def passes(wall: float) -> bool:
+        record = logging.makeLogRecord({"msg": "what"})
+        record.created = wall
+        return limit.filter(record)
+
+    assert [passes(1e9) for _ in range(MOST_LINES + 1)] == [True] * MOST_LINES + [False]
+    now[0] += PERIOD_S
+    assert passes(1e9 - HOUR_MS / 1000)
+
+
 def test_an_empty_line_says_that_the_list_still_holds() -> None:
     async def scenario() -> None:
         async with Watch() as watch:
