Tests of the lab's faults of the machine; an overlap of faults starts a gateway once

Two faults that overlap on one gateway started it twice; the second process outlived the play and held the address. Ruled out: ports of links; they have addresses of their own. Change: tests of that mend, of the fault kinds calls, disk and clock, and of what the soak draws.

--- a/tests/test_lab_plays.py
+++ b/tests/test_lab_plays.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from fleetlab import soak
 from fleetlab.fixture import Plays
 from fleetlab.report import compare, write_report
 
@@ -31,6 +32,53 @@
     return [pid for pid in found if pid != os.getpid()]
 
 
+def test_overlapping_faults_start_a_gateway_once_and_leave_no_process(lab: Plays, tmp_path: Path) -> None:
+    """A second start of one gateway outlived its play, and held its address under the next one's."""
+    played = lab(
+        duration_s=5.0,
+        fleet={"gateways": 2},
+        backends=FEW,
+        load={"rate": 10.0, "customers": 6, "spread": 1},
+        faults=[
+            {"kind": "kill", "at_s": 1.0, "gateways": ["g0"], "back_s": 1.0},
+            {"kind": "kill", "at_s": 1.5, "gateways": ["g0"], "back_s": 1.0},
+        ],
+    )
+    assert [event["life"] for event in played.of("life", g="g0", what="start")] == [1, 2]
+    assert not played.breaches("crash") and not alive(tmp_path)
+
+
+def test_faults_of_the_machine_strike_running_gateways_and_break_no_rule(lab: Plays) -> None:
+    errors = {"accept": ["EPROTO"], "poll": ["ENOMEM"], "epoll_wait": ["EINTR"]}
+    played = lab(
+        duration_s=6.0,
+        fleet={"gateways": 3, "state": True},
+        backends=FEW,
+        load={"rate": 30.0, "customers": 12, "spread": 2},
+        faults=[
+            {"kind": "calls", "at_s": 1.0, "for_s": 3.0, "gateways": ["g0"], "chance": 0.2, "errors": errors},
+            {"kind": "disk", "at_s": 1.0, "for_s": 2.0, "gateways": ["g1"], "chance": 1.0},
+            {"kind": "clock", "at_s": 2.0, "gateways": ["g2"], "step_s": -3600.0},
+        ],
+    )
+    assert not played.result.breaches
+    struck = {
+        name: (played.folder / "gateways" / name / "failed-calls").exists() for name in ("g0", "g1", "g2")
+    }
+    assert struck == {"g0": True, "g1": True, "g2": False}
+    failed = (played.folder / "gateways" / "g0" / "failed-calls").read_text().split()[1::3]
+    assert set(failed) <= set(errors)
+    log = (played.folder / "gateways" / "g1" / "life-1.log").read_text()
+    assert "the state on disk is off" in log and "state is kept again" in log
+
+
+def test_the_soak_draws_the_same_scenario_from_a_seed_and_each_can_be_played() -> None:
+    for seed in range(40):
+        drawn = soak.draw(seed, 2 + seed, list(soak.KINDS))
+        assert drawn == soak.draw(seed, 2 + seed, list(soak.KINDS))
+        assert len(drawn.faults) == 15 and len(drawn.gateway_names) == 2 + seed
+
+
 @pytest.mark.timeout(120)
 def test_each_rule_is_seen_to_be_broken_by_whoever_breaks_it(lab: Plays) -> None:
     altered = {
