The lab's judge finds what no client sent, and deadlines later than the client's

Change: rules garbled and deadlines; a backend's record holds the deadline it was told. Tests: rows of the judge's table in which a backend got another class than its client asked for, or something after its client's time, are put right; four rows are new.

--- a/fleetlab/backends.py
+++ b/fleetlab/backends.py
@@ -198,6 +198,7 @@
             plan=given[b"t"].decode(),
             units=float(given[b"units"]),
             key=given.get(b"k", b"").decode(),
+            d=int(given[b"d"]),
             ago=round(now - first_at, 4) if first_at else 0.0,
         )
         how = self.take(job, given.get(b"k", b"").decode(), now)
--- a/fleetlab/judge.py
+++ b/fleetlab/judge.py
@@ -19,6 +19,8 @@
 from .records import Event
 
 SLACK_S = 0.05  # by which sockets lengthen every limit
+DEADLINE_SLACK_S = 0.15  # by which the deadline told to a backend may pass that of the client
+PASSED_ON = "c", "cls", "plan", "units"  # of a request, unchanged
 LATE_S = 0.5  # after its time an answer earns nothing; later it is lost
 GRACE_S = settings.RULES["drainGrace"] / 1000
 WITHOUT = "not known to have it: "  # before the names, in the answer to a call for the fleet
@@ -283,6 +285,7 @@
         asked = self.asked.get(event["id"])
         if event["key"]:
             self.keys[event["id"]] = event["key"]
+        self.check_form(asked, event, sent)
         if asked is not None:
             if asked.attempts:
                 self.check_repeat(asked, event)
@@ -290,6 +293,19 @@
                 self.spend(event, now)
             asked.attempts.append(event)
 
+    def check_form(self, asked: Asked | None, event: Event, sent: float) -> None:
+        """Whether a client sent this, and whether its deadline is no later than the client's."""
+        gateway, name = event["g"], event["b"]
+        if not self.asked:
+            return  # the record begins later
+        if asked is None or any(event[key] != asked.event[key] for key in PASSED_ON):
+            self.breach("garbled", sent, "no client sent this", event["id"], gateways=[gateway], backend=name)
+            return
+        over = sent + event["d"] / 1000 - asked.event["t"] - asked.event["d"] / 1000
+        if over > DEADLINE_SLACK_S + self.slack_s and not self.excuses(gateway, asked, event["t"]):
+            text = f"its deadline is {over:.2f} s after its client's"
+            self.breach("deadlines", sent, text, event["id"], gateways=[gateway], backend=name)
+
     def check_told(self, event: Event, gateway: str, name: str, sent: float) -> None:
         known = self.told[gateway].get(name)
         if known is not None and known[1] != "up" and sent > known[0] + GRACE_S + self.slack_s:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -408,6 +408,7 @@
 
 def got(at: float, n: int = 1, b: str = "b0", cls: str = "kalkyl", **more: Any) -> dict[str, Any]:
     given = {"id": "1", "g": "g0", "c": "c", "cls": cls, "plan": "bas", "units": 1, "key": "", "ago": 0.0}
+    given["d"] = 100
     return {"t": at, "e": "got", "b": b, "n": n, **given, **more}
 
 
@@ -442,6 +443,10 @@
         ([ask(0), got(0.1), end(0.2, "served"), ans(0.2, "served", value=VALUE)], []),
         ([ask(0), ans(0.2, "served", value="made-by-b0-for-2")], ["made-up"]),
         ([ask(0), ans(0.2, "served", value="x")], ["made-up"]),
+        ([ask(0), got(0.1, id="2"), end(0.2, "full")], ["garbled"]),
+        ([ask(0), got(0.1, c="d"), end(0.2, "full")], ["garbled"]),
+        ([ask(0), got(0.1, d=1_090), end(0.2, "full")], []),  # within its slack
+        ([ask(0), got(0.1, d=1_110), end(0.2, "full")], ["deadlines"]),
         ([ask(0), ans(0.1, "refused"), ans(0.2, "refused")], ["answers"]),
         ([ask(0), ans(1.52, "failed")], []),  # late, and earns nothing
         ([ask(0), ans(1.56, "failed")], ["answers"]),
@@ -452,15 +457,34 @@
         ([ask(0), ans(0.2, "broken", fresh=True)], []),  # the first of its connection, and nothing sent on
         ([ask(0), ans(0.2, "broken", fresh=False)], ["answers"]),
         ([ask(0), {"t": 0.1, "e": "cut", "g": "g0", "until": 1.0}, ans(0.2, "broken", fresh=False)], []),
-        ([ask(0, "lanelofte"), got(0.1), end(0.2, "full"), got(0.3, 2, "b1", "lanelofte")], []),
-        ([ask(0, "lanelofte"), got(0.1), end(0.2, "left"), got(0.3, 2, "b1", "lanelofte")], ["repeats"]),
-        ([ask(0, "lanelofte"), got(0.1), got(0.3, 2, "b1", "lanelofte")], ["repeats"]),
+        (
+            [
+                ask(0, "lanelofte"),
+                got(0.1, cls="lanelofte"),
+                end(0.2, "full"),
+                got(0.3, 2, "b1", "lanelofte"),
+            ],
+            [],
+        ),
+        (
+            [
+                ask(0, "lanelofte"),
+                got(0.1, cls="lanelofte"),
+                end(0.2, "left"),
+                got(0.3, 2, "b1", "lanelofte"),
+            ],
+            ["repeats"],
+        ),
+        ([ask(0, "lanelofte"), got(0.1, cls="lanelofte"), got(0.3, 2, "b1", "lanelofte")], ["repeats"]),
         ([ask(0), got(0.1), got(0.3, 2, "b1")], []),  # safe to repeat
-        ([ask(0, "spara"), got(0.1), got(0.3, 2, "b0", "spara")], []),
-        ([ask(0, "spara"), got(0.1), got(0.3, 2, "b1", "spara")], ["repeats"]),
-        ([ask(0, "spara"), got(0.1), got(5.2, 2, "b0", "spara")], ["repeats"]),
-        ([ask(0, "lanelofte"), got(0.1), end(0.2, "left"), ans(0.3, "refused")], ["refusals"]),
-        ([ask(0, "lanelofte"), got(0.1), end(0.2, "full"), ans(0.3, "refused")], []),
+        ([ask(0, "spara"), got(0.1, cls="spara"), got(0.3, 2, "b0", "spara")], []),
+        ([ask(0, "spara"), got(0.1, cls="spara"), got(0.3, 2, "b1", "spara")], ["repeats"]),
+        ([ask(0, "spara", d=9_000), got(0.1, cls="spara"), got(5.2, 2, "b0", "spara")], ["repeats"]),
+        (
+            [ask(0, "lanelofte"), got(0.1, cls="lanelofte"), end(0.2, "left"), ans(0.3, "refused")],
+            ["refusals"],
+        ),
+        ([ask(0, "lanelofte"), got(0.1, cls="lanelofte"), end(0.2, "full"), ans(0.3, "refused")], []),
         ([ask(0), got(0.1), ans(0.3, "refused")], []),
         ([told(0, "draining"), got(0.54)], []),
         ([told(0, "draining"), got(0.56)], ["drains"]),
@@ -485,8 +509,11 @@
         ([life(0, "beside"), ask(0.5), life(0.6, "undone"), ans(0.6, "broken")], []),
         ([life(0, "unready")], ["start"]),
         ([life(0, "forced")], ["ends"]),
-        ([e for i in range(14) for e in (ask(0, id=str(i)), got(0, i, id=str(i), **STOR))], []),
-        ([e for i in range(15) for e in (ask(0, id=str(i)), got(0, i, id=str(i), **STOR))], ["ceilings"]),
+        ([e for i in range(14) for e in (ask(0, id=str(i), **STOR), got(0, i, id=str(i), **STOR))], []),
+        (
+            [e for i in range(15) for e in (ask(0, id=str(i), **STOR), got(0, i, id=str(i), **STOR))],
+            ["ceilings"],
+        ),
     ],
 )
 def test_the_judge_finds_each_rule_broken_and_none_where_it_holds(
@@ -503,7 +530,12 @@
 
 def test_a_key_that_runs_twice_in_a_rack_is_found_and_an_old_list_is_counted() -> None:
     judge = Judge()
-    runs = [ask(0, "spara"), got(0, key="k"), ask(1, "spara", id="2"), got(1, 2, id="2", key="k")]
+    runs = [
+        ask(0, "spara"),
+        got(0, cls="spara", key="k"),
+        ask(1, "spara", id="2"),
+        got(1, 2, cls="spara", id="2", key="k"),
+    ]
     begun = [{"t": n, "e": "run", "b": "b0", "n": n, "id": str(n)} for n in (1, 2)]
     for event in [PLAY, *runs, *begun]:
         judge.feed(event)
@@ -513,7 +545,7 @@
     judge.feed({"t": 0, "e": "list", "seq": 2, "b": "b0", "health": "draining", "born": 0})
     for gateway in ("g1", "g2"):
         judge.feed({**told(0.5, "draining"), "g": gateway})
-    judge.feed(ask(0))
+    judge.feed(ask(0, d=3_000))
     for at in (2.4, 2.6):
         judge.feed(got(at))
     assert judge.finish() == [] and judge.figures()["sends on an old list"] == 1
