--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -9,6 +9,9 @@
 import socket
 import subprocess
 import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -42,6 +45,36 @@
     )
 
 
+@dataclass
+class Program:
+    """The program as a process, with the surroundings that its configuration names."""
+
+    port: int
+    config: Path
+    given: dict[str, Any]
+    process: asyncio.subprocess.Process
+
+
+@asynccontextmanager
+async def program(folder: Path, *worlds: World) -> AsyncIterator[Program]:
+    """Start the program in the first of some worlds; whatever is left of it at the end is killed."""
+    servers = [server for w in worlds for server in (*w.backends, w.counter, w.discovery)]
+    for server in servers:
+        await server.start()
+    port, config = claimed_port(), folder / "config.json"
+    given = {**worlds[0].config(), "listen": f"{LOCAL}:{port}"}
+    config.write_text(json.dumps(given))
+    process = await start(config)
+    try:
+        yield Program(port, config, given, process)
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+        for server in servers:
+            await server.stop()
+
+
 async def connect(port: int) -> Peer:
     while True:
         try:
@@ -59,14 +92,8 @@
             return b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
         backend = Backend(script)
-        world = World(backend)
-        for server in (backend, world.counter, world.discovery):
-            await server.start()
-        port = claimed_port()
-        config = tmp_path / "config.json"
-        config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{port}"}))
-        process = await start(config)
-        try:
+        async with program(tmp_path, World(backend)) as made:
+            port, process = made.port, made.process
             peer, idle = await connect(port), await connect(port)
             peer.send(b"PING")
             assert await peer.receive() == b"PONG"
@@ -86,12 +113,6 @@
             assert await peer.receive() == b"value"
             assert await peer.receive() is None
             assert await process.wait() == 0
-        finally:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
-            for server in (backend, world.counter, world.discovery):
-                await server.stop()
 
     in_loop(scenario)
 
@@ -169,16 +190,8 @@
     """A second SIGTERM, and SIGHUP in the drain, with a request half read and one pipelined behind it."""
 
     async def scenario() -> None:
-        backend = Backend()
-        world = World(backend)
-        servers = (backend, world.counter, world.discovery)
-        for server in servers:
-            await server.start()
-        port = claimed_port()
-        config = tmp_path / "config.json"
-        config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{port}"}))
-        process = await start(config)
-        try:
+        async with program(tmp_path, World(Backend())) as made:
+            port, process = made.port, made.process
             peer, asker = await connect(port), await connect(port)
             peer.send(b"PING")
             assert await peer.receive() == b"PONG"
@@ -193,12 +206,6 @@
             peer.writer.write(whole[50:])
             assert [await peer.receive() for _ in range(3)] == [b"value", b"value", None]
             assert await process.wait() == 0
-        finally:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
-            for server in servers:
-                await server.stop()
 
     in_loop(scenario)
 
@@ -226,15 +233,8 @@
 def test_a_configuration_that_is_half_written_at_sighup_is_taken_once_it_is_whole(tmp_path: Path) -> None:
     async def scenario() -> None:
         old, new = World(Backend()), World(Backend())
-        servers = [w for world in (old, new) for w in (*world.backends, world.counter, world.discovery)]
-        for server in servers:
-            await server.start()
-        port = claimed_port()
-        config = tmp_path / "config.json"
-        given = {**old.config(), "listen": f"{LOCAL}:{port}"}
-        config.write_text(json.dumps(given))
-        process = await start(config)
-        try:
+        async with program(tmp_path, old, new) as made:
+            port, process, config, given = made.port, made.process, made.config, made.given
             peer = await connect(port)
             await until(lambda: old.discovery.watches)
             moved = json.dumps({**given, "discovery": f"{LOCAL}:{new.discovery.port}"})
@@ -245,11 +245,8 @@
             config.write_text(moved)
             await until(lambda: new.discovery.watches)
             peer.close()
-        finally:
             process.terminate()
             assert await process.wait() == 0
-            for server in servers:
-                await server.stop()
 
     in_loop(scenario)
 
@@ -368,15 +365,8 @@
 
     async def scenario() -> None:
         old, new = World(Backend()), World(Backend())
-        servers = [w for world in (old, new) for w in (world.backends[0], world.counter, world.discovery)]
-        for server in servers:
-            await server.start()
-        port = claimed_port()
-        config = tmp_path / "config.json"
-        begin = {**old.config(), "listen": f"{LOCAL}:{port}"}
-        config.write_text(json.dumps(begin))
-        process = await start(config)
-        try:
+        async with program(tmp_path, old, new) as made:
+            port, process, config, begin = made.port, made.process, made.config, made.given
             peer = await connect(port)
             assert await old.ask(peer, plan=b"basic") == b"value"
             await until(lambda: old.discovery.watches and old.counter.got)
@@ -400,11 +390,5 @@
                 number += 1
                 await old.ask(peer, id=b"%d" % number, plan=b"basic")
             assert len(old.counter.got) == asked and process.returncode is None
-        finally:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
-            for server in servers:
-                await server.stop()
 
     in_loop(scenario)
