A start needs no name of its sockets; a lost wake-up loses no signal

At fault: the port of a listening socket (getsockname) and the socket for the next process of an upgrade, both outside of any try; and the event loop's read of its wake-up for signals, which drops what it has read when the next read fails. Ruled out: listening itself, the event loop's descriptors, the program's files; they are tried again already. Change: an unknown port is 0 and told in the log; a hand-over that can't listen is told; signals are noted by handlers of the program's own, which wake the event loop, and are taken by a look each 0.1 s whatever becomes of that.

--- a/roadpulley/accept.py
+++ b/roadpulley/accept.py
@@ -132,6 +132,15 @@
         return self.most
 
 
+def port_of(sock: socket.socket) -> int:
+    """The port that a socket is bound to; 0 where the system can't say."""
+    try:
+        return int(sock.getsockname()[1])
+    except OSError as error:
+        log.warning("the port of a listening socket is not known: %s", error)
+        return 0
+
+
 class Acceptor:
     """Hands each connection that comes to a protocol of its own, until it is closed.
 
@@ -152,12 +161,9 @@
         self.resting: asyncio.TimerHandle | None = None
         self.accepts = self.closed = False
         sock.setblocking(False)
+        self.port = port_of(sock)
         self.resume()
 
-    @property
-    def port(self) -> int:
-        return int(self.socket.getsockname()[1])
-
     def resume(self) -> None:
         """Accept from now on, or as soon as the event loop can watch the socket."""
         if self.closed:
--- a/roadpulley/program.py
+++ b/roadpulley/program.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+from collections import deque
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -25,6 +26,7 @@
 CONFIG_TRIES, CONFIG_WAIT_S = 5, 0.2
 # A system call that fails for a moment must not end a start: the platform allows 30 s for one.
 START_WITHIN_S, START_AGAIN_S = 20.0, 0.1
+SIGNAL_LOOK_S = 0.1  # between two looks at the signals that were noted
 
 # Event loops that could not run. They can't be closed, and their descriptors must not be closed by the
 # collector once other parts of the program have the same numbers.
@@ -62,6 +64,35 @@
         )
 
 
+class Signals:
+    """Hears signals, also where the event loop's own way of telling of them fails.
+
+    A handler notes the signal and wakes the event loop up. What is noted is taken then, or by a look now and
+    then: a wake-up may be lost as any system call may fail, and a lost SIGTERM would cost all that is open.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, actions: dict[int, Callable[[], None]]) -> None:
+        self.loop, self.actions = loop, actions
+        self.noted: deque[int] = deque()
+        for number in actions:
+            signal.signal(number, self._note)
+        self._look()
+
+    def _note(self, number: int, _: object) -> None:
+        self.noted.append(number)
+        with contextlib.suppress(OSError, RuntimeError):
+            self.loop.call_soon_threadsafe(self.take)
+
+    def _look(self) -> None:
+        self.loop.call_later(SIGNAL_LOOK_S, self._look)
+        self.take()
+
+    def take(self) -> None:
+        """Act on what has been noted."""
+        while self.noted:
+            self.actions[self.noted.popleft()]()
+
+
 async def run(path: str, config: Config) -> None:
     """Serve with a configuration, whose file is read again at each SIGHUP, until SIGTERM or SIGINT."""
     stop, changes = asyncio.Event(), asyncio.Queue[Config]()
@@ -76,11 +107,9 @@
             else:
                 log.warning("the changed configuration is not taken: %s", error)  # the old one still holds
 
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    Signals(loop, {signal.SIGHUP: reload, signal.SIGTERM: stop.set, signal.SIGINT: stop.set})
     if early_reloads:
         reload()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, stop.set)
     await serve(config, stop, changes=changes)
 
 
--- a/roadpulley/upgrade_handover.py
+++ b/roadpulley/upgrade_handover.py
@@ -11,6 +11,8 @@
 from pathlib import Path
 from typing import Any, cast
 
+from .accept import close_socket
+
 log = logging.getLogger(__name__)
 
 ASK_S = 1.0  # for the old process to tell all it knows; without that, this one starts as any other
@@ -110,6 +112,12 @@
 
     async def listen(self) -> None:
         """Be found by the next process."""
+        try:
+            await self._listen()
+        except OSError as error:
+            log.warning("the next process will not find this one: %s", error)
+
+    async def _listen(self) -> None:
         made = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
             with opened_directory(self.path) as place:
@@ -118,9 +126,9 @@
             self.listener = await asyncio.get_running_loop().create_unix_server(
                 lambda: Line(self._asked, self._heard, self._lost), sock=made
             )
-        except OSError as error:
-            made.close()
-            log.warning("the next process will not find this one: %s", error)
+        except OSError:
+            close_socket(made)
+            raise
 
     def serving(self) -> None:
         self.tell([SERVING])
--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -23,7 +23,7 @@
 from fleetlab.machine import DISK_ERRORS, FailingCall, MachineFaults, environment, failing
 from fleetlab.sockets import LOCAL, Peer, Reply
 from roadpulley.config import ConfigError
-from roadpulley.program import read_config
+from roadpulley.program import Signals, read_config
 
 ROOT = Path(__file__).parents[1]
 DOWN, UP = "/ops/backends/down", "/ops/backends/up"
@@ -268,6 +268,42 @@
     in_loop(scenario)
 
 
+def test_a_start_needs_no_name_of_its_sockets(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with faulty(tmp_path, FailingCall("getsockname", 1.0, ("ENOBUFS",))) as gateway:
+            peer = await gateway.client()
+            peer.send(*request())
+            assert await peer.receive() == b"value"
+            assert (await stats(gateway.world))["outstanding"] == 0
+            assert gateway.failed("getsockname")
+            assert await gateway.ended(signal.SIGTERM) == 0
+
+    in_loop(scenario)
+
+
+def test_a_signal_whose_wake_up_is_lost_is_taken_all_the_same() -> None:
+    class Deaf:
+        """An event loop that can't be woken up."""
+
+        def call_soon_threadsafe(self, _: object) -> None:
+            raise OSError("no wake-up")
+
+        def call_later(self, seconds: float, callback: Callable[[], None]) -> None:
+            asyncio.get_running_loop().call_later(seconds, callback)
+
+    async def scenario() -> None:
+        taken = asyncio.Event()
+        before = signal.getsignal(signal.SIGUSR1)
+        try:
+            Signals(Deaf(), {signal.SIGUSR1: taken.set})  # type: ignore[arg-type]
+            os.kill(os.getpid(), signal.SIGUSR1)
+            await taken.wait()
+        finally:
+            signal.signal(signal.SIGUSR1, before)
+
+    in_loop(scenario)
+
+
 def test_an_address_that_another_process_holds_is_had_once_that_one_ends(tmp_path: Path) -> None:
     async def scenario() -> None:
         with socket.create_server((LOCAL, 0)) as held:
