The look at signals shares the wake-ups of the looks at what is out by hand

Change: the look is one of the program's own timers, at the period and moment of those for operators' files.

--- a/fleetlab/launch.py
+++ b/fleetlab/launch.py
@@ -131,8 +131,8 @@
 
     from roadpulley import program
 
-    async def serve(config: Any, stop: Any, ready: Any = None, changes: Any = None) -> None:
-        await before(config, asyncio.Event(), ready, changes)
+    async def serve(config: Any, stop: Any, **given: Any) -> None:
+        await before(config, asyncio.Event(), **given)
 
     before = replace(program, "serve", serve)
 
--- a/roadpulley/program.py
+++ b/roadpulley/program.py
@@ -26,7 +26,7 @@
 CONFIG_TRIES, CONFIG_WAIT_S = 5, 0.2
 # A system call that fails for a moment must not end a start: the platform allows 30 s for one.
 START_WITHIN_S, START_AGAIN_S = 20.0, 0.1
-SIGNAL_LOOK_S = 0.1  # between two looks at the signals that were noted
+SIGNAL_LOOK_MS = 100.0  # between two looks at the signals that were noted
 
 # Event loops that could not run. They can't be closed, and their descriptors must not be closed by the
 # collector once other parts of the program have the same numbers.
@@ -39,10 +39,13 @@
     stop: asyncio.Event,
     ready: Callable[[int], None] | None = None,
     changes: asyncio.Queue[Config] | None = None,
+    signals: Signals | None = None,
 ) -> None:
     """Serve until `stop` is set, then drain. `ready` is told the port once clients may come."""
     loop = asyncio.get_running_loop()
     service = Service(config, stop)
+    if signals is not None:  # beside the looks at what is out by hand, so that it costs no wake-up more
+        service.timers.every(SIGNAL_LOOK_MS, "signals", signals.take)
     loop.set_exception_handler(service.guard.on_loop_error)
     await service.load()
     watch = loop.create_task(service.guard.supervise("discovery", service.discovery.run))
@@ -67,8 +70,9 @@
 class Signals:
     """Hears signals, also where the event loop's own way of telling of them fails.
 
-    A handler notes the signal and wakes the event loop up. What is noted is taken then, or by a look now and
-    then: a wake-up may be lost as any system call may fail, and a lost SIGTERM would cost all that is open.
+    A handler notes the signal and wakes the event loop up. What is noted is taken then, or when `take` is
+    called now and then: a wake-up may be lost as any system call may fail, and a lost SIGTERM would cost all
+    that is open.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, actions: dict[int, Callable[[], None]]) -> None:
@@ -76,17 +80,12 @@
         self.noted: deque[int] = deque()
         for number in actions:
             signal.signal(number, self._note)
-        self._look()
 
     def _note(self, number: int, _: object) -> None:
         self.noted.append(number)
         with contextlib.suppress(OSError, RuntimeError):
             self.loop.call_soon_threadsafe(self.take)
 
-    def _look(self) -> None:
-        self.loop.call_later(SIGNAL_LOOK_S, self._look)
-        self.take()
-
     def take(self) -> None:
         """Act on what has been noted."""
         while self.noted:
@@ -107,10 +106,10 @@
             else:
                 log.warning("the changed configuration is not taken: %s", error)  # the old one still holds
 
-    Signals(loop, {signal.SIGHUP: reload, signal.SIGTERM: stop.set, signal.SIGINT: stop.set})
+    signals = Signals(loop, {signal.SIGHUP: reload, signal.SIGTERM: stop.set, signal.SIGINT: stop.set})
     if early_reloads:
         reload()
-    await serve(config, stop, changes=changes)
+    await serve(config, stop, changes=changes, signals=signals)
 
 
 def read_config(path: str) -> Config:
--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 import sys
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -22,6 +22,7 @@
 from fleetlab.backends import Backend
 from fleetlab.machine import DISK_ERRORS, FailingCall, MachineFaults, environment, failing
 from fleetlab.sockets import LOCAL, Peer, Reply
+from roadpulley.clock import Timers
 from roadpulley.config import ConfigError
 from roadpulley.program import Signals, read_config
 
@@ -288,14 +289,12 @@
         def call_soon_threadsafe(self, _: object) -> None:
             raise OSError("no wake-up")
 
-        def call_later(self, seconds: float, callback: Callable[[], None]) -> None:
-            asyncio.get_running_loop().call_later(seconds, callback)
-
     async def scenario() -> None:
         taken = asyncio.Event()
         before = signal.getsignal(signal.SIGUSR1)
         try:
-            Signals(Deaf(), {signal.SIGUSR1: taken.set})  # type: ignore[arg-type]
+            signals = Signals(Deaf(), {signal.SIGUSR1: taken.set})  # type: ignore[arg-type]
+            Timers(asyncio.get_running_loop()).every(1.0, "signals", signals.take)
             os.kill(os.getpid(), signal.SIGUSR1)
             await taken.wait()
         finally:
