The soak cuts no link between a gateway and its own agent

The agent stands on the gateway's machine. Change: links to agents are not drawn; an agent's own faults (late, silent, broken off) still are.

--- a/fleetlab/soak.py
+++ b/fleetlab/soak.py
@@ -86,7 +86,8 @@
     ills = ({"cut": True}, {"delay_ms": 80.0, "jitter_ms": 40.0}, {"refuse": True}, {"reset": True})
     return {
         "between": drawn.some(chance, drawn.gateways),
-        "and": chance.choice((drawn.some(chance, drawn.backends), ["counter"], ["agents"])),
+        # Not to agents: they stand on the gateway's own machine, and what they wrote counts as told.
+        "and": chance.choice((drawn.some(chance, drawn.backends), ["counter"])),
         "for_s": min(drawn.for_s, 5.0),
         **chance.choice(ills),
     }
