What the change left behind: dead and needless pieces, one thing written twice

Change: an option of ClientConnection.close, a result of Guard.call and a constant of the soak that nobody used are gone; the operators' address is listened on without a coroutine; a descriptor that is no listening socket is not asked five times; the store's own remove clears what is left of a file; two fault handlers of the lab are one; the shim's check by file copies no name; a loss of power stands once in the tests; three parameters follow the renamed classes. Behaviour is as before, but for four warnings less where LB_INHERITED_FD names no listening socket.

--- a/fleetlab/faults.py
+++ b/fleetlab/faults.py
@@ -11,7 +11,6 @@
 
 from . import scenario as given
 from .links import Ills
-from .machine import MachineFaults
 from .processes import Gateway
 from .scenario import AnyFault
 from .stage import Stage
@@ -32,8 +31,8 @@
             given.Stop: self.stop,
             given.Hup: self.hup,
             given.Clock: self.clock,
-            given.Calls: self.calls,
-            given.DiskFails: self.disk,
+            given.Calls: self.machine,
+            given.DiskFails: self.machine,
             given.Power: self.power,
             given.Link: self.link,
             given.BackendDoes: self.backend,
@@ -126,19 +125,13 @@
             gateway.write_machine_faults()
             self.records.add("clock", g=gateway.name, offset_s=gateway.clock_s)
 
-    async def calls(self, number: int, fault: given.Calls) -> None:
-        await self.machine(number, fault.gateways, fault.for_s, fault.machine_faults())
-
-    async def disk(self, number: int, fault: given.DiskFails) -> None:
-        await self.machine(number, fault.gateways, fault.for_s, fault.machine_faults())
-
-    async def machine(self, number: int, names: list[str], for_s: float, faults: MachineFaults) -> None:
+    async def machine(self, number: int, fault: given.Calls | given.DiskFails) -> None:
         """Have something wrong with the machines of some gateways for a while."""
-        struck = self.gateways(names)
+        struck, faults = self.gateways(fault.gateways), fault.machine_faults()
         for gateway in struck:
             gateway.machine_faults[number] = faults
             gateway.write_machine_faults()
-        await asyncio.sleep(for_s)
+        await asyncio.sleep(fault.for_s)
         for gateway in struck:
             del gateway.machine_faults[number]
             gateway.write_machine_faults()
--- a/fleetlab/shim/machine_faults.c
+++ b/fleetlab/shim/machine_faults.c
@@ -386,16 +386,8 @@
     return open_with(path, flags | O_LARGEFILE, mode);
 }
 
-static const char *kind(const char *call, int fd, char *name, size_t size) {
-    snprintf(name, size, "%s", call);
-    return on_disk(fd) || on_socket(fd) ? name : NULL;
-}
-
 #define FAIL_BY_FILE(call, fd) \
-    do { \
-        char name_[24]; \
-        if (kind(call, fd, name_, sizeof name_)) MAY_FAIL(name_, on_disk(fd)); \
-    } while (0)
+    do { if (on_disk(fd) || on_socket(fd)) MAY_FAIL(call, on_disk(fd)); } while (0)
 
 ssize_t read(int fd, void *buffer, size_t length) {
     REAL(read);
--- a/fleetlab/soak.py
+++ b/fleetlab/soak.py
@@ -25,7 +25,6 @@
 STEPS_S = (-3_600.0, -90.0, -7.0, -1.0, 1.0, 7.0, 90.0, 3_600.0)  # of wall clocks
 CALL_CHANCES = (0.005, 0.02, 0.05)
 DISK_CHANCES = (0.1, 0.4, 1.0)
-INVARIANTS = "invariant."
 VIOLATED = "invariants violated"
 
 Draw = Callable[[random.Random, "Drawn"], dict[str, Any]]
--- a/roadpulley/accept.py
+++ b/roadpulley/accept.py
@@ -92,8 +92,11 @@
     for _ in range(INHERITED_TRIES):
         try:
             return listening_descriptor(int(named))
-        except (OSError, ValueError) as error:
+        except OSError as error:
+            log.warning("descriptor %r can't be used yet: %s", named, error)
+        except ValueError as error:  # no further try makes it another one
             log.warning("descriptor %r can't be used: %s", named, error)
+            break
     log.warning("a new socket is opened in place of descriptor %r", named)
     return None
 
--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -175,18 +175,17 @@
         else:
             self._throttle()
 
-    def close(self, at_once: bool = False) -> None:
+    def close(self) -> None:
         """End this connection: the one place where this side does so between answers.
 
-        A request that is open here would be lost with it, so then it stays open. `at_once`: what is still to
-        be read there is given up as well.
+        A request that is open here would be lost with it, so then it stays open.
         """
         if self.transport is None or self.transport.is_closing():
             return
         if open_here := [slot.request for slot in self.slots if slot.request is not None]:
             self.server.guard.violated(Invariant.NO_UNANSWERED_CLOSE, f"open: {', '.join(open_here)}")
             return
-        (self.transport.abort if at_once else self.transport.close)()
+        self.transport.close()
 
     def shut(self) -> None:
         """Write what is due, end this side, and close once the peer has read that and closed as well.
--- a/roadpulley/guard.py
+++ b/roadpulley/guard.py
@@ -39,14 +39,12 @@
         self.contained: Counts[str] = Counts()
         self.violations: Counts[Invariant] = Counts()
 
-    def call(self, place: str, callback: Callable[..., object], *given: Any) -> bool:
-        """Call back; whether it went through. An error ends here."""
+    def call(self, place: str, callback: Callable[..., object], *given: Any) -> None:
+        """Call back; an error ends here."""
         try:
             callback(*given)
         except Exception:
             self.caught(place)
-            return False
-        return True
 
     def caught(self, place: str) -> None:
         """Count and log the exception that is being handled."""
--- a/roadpulley/operators.py
+++ b/roadpulley/operators.py
@@ -173,7 +173,7 @@
         self.answering.add(task)
         task.add_done_callback(self.answering.discard)
 
-    async def listen_soon(self, address: Address) -> None:
+    def listen_soon(self, address: Address) -> None:
         """Start to accept, at once where the machine lets it, else while the gateway serves already."""
         try:
             self.listen(listening(address, BACKLOG))
--- a/roadpulley/program.py
+++ b/roadpulley/program.py
@@ -28,9 +28,9 @@
 START_WITHIN_S, START_AGAIN_S = 20.0, 0.1
 SIGNAL_LOOK_MS = 100.0  # between two looks at the signals that were noted
 
+early_reloads: list[int] = []  # SIGHUP before the event loop runs
 # Event loops that could not run. They can't be closed, and their descriptors must not be closed by the
 # collector once other parts of the program have the same numbers.
-early_reloads: list[int] = []  # SIGHUP before the event loop runs
 broken_loops: list[asyncio.AbstractEventLoop] = []
 
 
--- a/roadpulley/service.py
+++ b/roadpulley/service.py
@@ -364,7 +364,7 @@
                 took_over, self.fleet_recovery is None or not self.fleet_recovery.verdict.old
             )
         if self.config.operator is not None:
-            await self.operators.listen_soon(self.config.operator)
+            self.operators.listen_soon(self.config.operator)
         if self.fleet_recovery is not None and not took_over:
             await self.fleet_recovery.catch_up()
         listener = inherited() or await listening_in_time(self.config.listen, BACKLOG, LISTEN_WITHIN_S)
@@ -386,13 +386,13 @@
 
     # ---- the line to other gateways ----
 
-    async def hear_fleet(self, rejoin: FleetRecovery, took_over: bool) -> None:
+    async def hear_fleet(self, recovery: FleetRecovery, took_over: bool) -> None:
         """Before clients: what the others know that a lost or an old disk does not."""
         if took_over:
-            return rejoin.settle()  # the line is the other process's for a moment yet
+            return recovery.settle()  # the line is the other process's for a moment yet
         await self.join()
         if self.peers is not None:
-            await rejoin.hear(self.peers)
+            await recovery.hear(self.peers)
 
     async def join(self) -> None:
         """Take part in the fleet, if the configuration names one."""
@@ -442,18 +442,18 @@
             self.shut(self.list_repair, self.peers)
         self.note("ready", "", "yes" if self.clients.takes_clients else "no")
 
-    def compare(self, peers: Peers, apart: Divergence) -> None:
+    def compare(self, peers: Peers, divergence: Divergence) -> None:
         """Tell staff where most other gateways have another configuration or program than this one."""
         node, own = peers.node, {"config": self.config.digest, "release": self.config.release}
         for kind, mine in own.items():
             others = [node.facts.value(kind, "", name) for name in node.members.present]
-            if apart.look(self.loop.time(), kind, mine, others):
-                theirs = apart.told.get(kind)
+            if divergence.look(self.loop.time(), kind, mine, others):
+                theirs = divergence.told.get(kind)
                 said = f"most have {theirs}" if theirs else "most have the same now"
                 log.warning("the %s here is %s: %s", kind, mine, said)
                 self.note("differs" if theirs else "alike", kind, "", said)
 
-    def shut(self, level: ListRepair, peers: Peers) -> None:
+    def shut(self, list_repair: ListRepair, peers: Peers) -> None:
         """Go out, or come back, as its list stays behind the others' and most of them grant it."""
         from .fleet.quarantine import Quarantine
         from .fleet.staleness import floors_of
@@ -462,7 +462,7 @@
             self.quarantine = Quarantine(peers.line.shut_out_s, self.loop.time())
         was, one = self.quarantine.out, self.quarantine
         spared, floors = (self.hands[kind].out if kind in self.hands else () for kind in (SPARE, FLOOR))
-        given = level.own(), level.is_behind, spared, floors_of(floors)
+        given = list_repair.own(), list_repair.is_behind, spared, floors_of(floors)
         out = one.look(peers.node, self.loop.time(), now_ms(), *given)
         self.lag(one.kind)
         if out == was or self.clients.ending:
--- a/roadpulley/store.py
+++ b/roadpulley/store.py
@@ -173,8 +173,7 @@
         return made
 
     def begin(self) -> None:
-        for suffix in SUFFIXES:
-            self.path.with_name(FILE + suffix).unlink(missing_ok=True)  # of a file that is gone
+        self.remove(FILE)  # what is left of one that is gone
         made = self.connect()
         self.prepare(made)
         made.execute(f"PRAGMA user_version={SCHEMA}")
--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -203,6 +203,16 @@
             assert (await call(world, "POST", path, b'{"id": "a"}'))[0] in (200, 503)
 
 
+async def lose_power(gateway: FaultyGateway) -> None:
+    """Kill it, take away what no disk keeps, and start it again with nothing wrong; it takes clients then."""
+    await gateway.ended(signal.SIGKILL)
+    for path in gateway.folder.glob("roadpulley-*"):
+        path.unlink()
+    gateway.suffers()
+    await gateway.start()
+    (await gateway.client()).close()
+
+
 def test_what_operators_were_told_yes_is_owed_through_a_failing_disk_a_kill_and_a_lost_tmp(
     tmp_path: Path,
 ) -> None:
@@ -214,12 +224,7 @@
             await write_until_off(gateway.world)
             assert (await call(gateway.world, "POST", UP, b'{"id": "h0"}'))[0] == 503
             assert (await stats(gateway.world))["ejected"] == 1
-            await gateway.ended(signal.SIGKILL)
-            for path in tmp_path.glob("roadpulley-*"):
-                path.unlink()
-            gateway.suffers()
-            await gateway.start()
-            (await gateway.client()).close()
+            await lose_power(gateway)
             assert (await stats(gateway.world))["ejected"] == 1
 
     in_loop(scenario)
@@ -237,11 +242,7 @@
                 await asyncio.sleep(0.01)
             assert (await call(gateway.world, "POST", DOWN, b'{"id": "h0"}'))[0] == 200
             assert (await stats(gateway.world))["state.off_ms"] > 0
-            await gateway.ended(signal.SIGKILL)
-            for path in tmp_path.glob("roadpulley-*"):
-                path.unlink()
-            await gateway.start()
-            (await gateway.client()).close()
+            await lose_power(gateway)
             assert (await stats(gateway.world))["ejected"] == 1
 
     in_loop(scenario)
