--- a/fleetlab/scenario.py
+++ b/fleetlab/scenario.py
@@ -326,18 +326,23 @@
         does = (fault for fault in self.faults if isinstance(fault, BackendDoes))
         return power + [fault.backends for fault in does if fault.what == "gone"]
 
+    def named_by(self, *kinds: type[Clock | Calls | DiskFails | Upgrade]) -> set[str]:
+        """The gateways that faults of some kinds name."""
+        found: set[str] = set()
+        for fault in self.faults:
+            if isinstance(fault, kinds):
+                found.update(self.pick("gateways", fault.gateways))
+        return found
+
     @property
     def on_faulty_machines(self) -> set[str]:
         """The gateways whose system calls, disks or clocks go wrong in the play."""
-        kinds = (Clock, Calls, DiskFails)
-        named = (self.pick("gateways", one.gateways) for one in self.faults if isinstance(one, kinds))
-        return {name for names in named for name in names}
+        return self.named_by(Clock, Calls, DiskFails)
 
     @property
     def upgraded(self) -> set[str]:
         """The gateways of which a new process takes over in the play."""
-        named = (self.pick("gateways", fault.gateways) for fault in self.faults if isinstance(fault, Upgrade))
-        return {name for names in named for name in names}
+        return self.named_by(Upgrade)
 
     def ends(self, words: list[str]) -> set[str]:
         """The ends of links that words mean, such as `gateways`, b2, zone:a, counter, agents, clients."""
