One ledger bounds the memory held for clients: slow readers end no gateway

Cause: memory was bounded for each connection and for values over 64 KiB, not over all connections. Up to 32 answers of each connection waited in its slots and its transport, 1.9 MB, and nothing summed them up. Evidence: nothing in the metrics told answers, commands and bodies apart, so they are counted by kind now. Change: net/memory.py, one ledger to which each owner of buffers reports. Over half of its limit one command of a connection is processed at a time, and reads and buffered values are smaller; a request without room is rejected on its head. Not more than 16 KiB and one answer wait in a transport. Held and counted nowhere, found on the related paths: an idle connection to a backend kept its last request through an empty slice, and parsers kept what they had parsed until the next bytes came. Tests: tests/service/test_memory_limit.py, real processes at 32 MB with 256 and 1,024 descriptors and at 64 MB with 512.

--- a/switchline/backends/connection.py
+++ b/switchline/backends/connection.py
@@ -19,6 +19,7 @@
 from switchline.clock import now_ms
 from switchline.net.idle import IMMEDIATE_RESET_MS
 from switchline.net.listen import close_socket
+from switchline.net.memory import MAX_VALUE_BYTES, STREAMING_THRESHOLD_BYTES
 from switchline.net.resp import (
     CRLF,
     INCOMPLETE,
@@ -28,7 +29,7 @@
     StreamedStringStarted,
     Value,
 )
-from switchline.net.streams import MAX_VALUE_BYTES, STREAMING_THRESHOLD_BYTES, StreamedResponse
+from switchline.net.streams import StreamedResponse
 from switchline.policy.interface import Outcome
 
 if TYPE_CHECKING:
@@ -43,7 +44,11 @@
 # ready to send or receive.
 STALL_TIMEOUT_MS = 10_000.0
 MAX_REPLY_ITEMS = 16  # a valid reply has three items
-MAX_REPLY_BYTES = 128 * 1024  # without the bytes of a streamed value
+MAX_REPLY_FIGURES_BYTES = 8 * 1024  # all of a reply but its value
+MAX_REPLY_BYTES = STREAMING_THRESHOLD_BYTES + MAX_REPLY_FIGURES_BYTES  # without a streamed value
+
+# In place of an empty slice, which would keep the memory of the bytes that are sent.
+NOTHING_UNSENT = memoryview(b"")
 
 
 class ConnectionState(Enum):
@@ -91,7 +96,7 @@
         self._parser = RespParser(
             MAX_REPLY_ITEMS, MAX_REPLY_BYTES, STREAMING_THRESHOLD_BYTES, MAX_VALUE_BYTES
         )
-        self._unsent = memoryview(b"")
+        self._unsent = NOTHING_UNSENT
         self.writing_blocked = False
         self._sending = False  # prevents reentrant calls of `_send`
         self._reading_paused = False
@@ -211,9 +216,10 @@
         try:
             while self._unsent or self._load_next():
                 sent = self.socket.send(self._unsent)
-                self._unsent = self._unsent[sent:]
-                if self._unsent:
+                if sent < len(self._unsent):
+                    self._unsent = self._unsent[sent:]
                     break
+                self._unsent = NOTHING_UNSENT
         except (BlockingIOError, InterruptedError):
             pass
         except OSError:
--- a/switchline/clients/commands.py
+++ b/switchline/clients/commands.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from switchline.clock import now_ms
+from switchline.net.memory import STREAMING_THRESHOLD_BYTES
 from switchline.net.streams import StreamedRequestBody
 
 IDEMPOTENT_VERB = b"API.READ"
@@ -69,6 +70,14 @@
     received_at_ms: float
     streamed_body: StreamedRequestBody | None = None
 
+    @property
+    def held_bytes(self) -> int:
+        """The most memory that the value takes in this process while the request is in flight."""
+        buffered_bytes = len(self.encoded_value)
+        if self.streamed_body is not None:
+            buffered_bytes += min(self.streamed_body.length_bytes, STREAMING_THRESHOLD_BYTES)
+        return buffered_bytes
+
     def encode(self, time_left_ms: int) -> bytes:
         """Encode the command for a backend.
 
--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -10,14 +10,22 @@
 from enum import IntEnum, auto
 from typing import TYPE_CHECKING, cast
 
+from switchline.clients.answers import AnswerWriter
 from switchline.clients.dispatch import begins_request, dispatch
 from switchline.clients.slot import Slot
-from switchline.clients.watchdog import DeliveryWatch, ReceiveWatch
+from switchline.clients.watchdog import ReceiveWatch
 from switchline.clock import now_ms
 from switchline.guard import Guard, Invariant
+from switchline.net.memory import (
+    MAX_COMMAND_HEAD_BYTES,
+    MAX_VALUE_BYTES,
+    STREAMING_THRESHOLD_BYTES,
+    MemoryEntry,
+    MemoryUse,
+)
 from switchline.net.resp import INCOMPLETE, ProtocolError, RespParser, StreamedStringStarted
 from switchline.net.socket_state import has_unread_bytes, peer_has_closed
-from switchline.net.streams import MAX_VALUE_BYTES, STREAMING_THRESHOLD_BYTES, StreamedRequestBody
+from switchline.net.streams import StreamedRequestBody
 from switchline.operators.metrics import EvictionReason
 
 if TYPE_CHECKING:
@@ -27,12 +35,7 @@
 
 # While this many commands wait for their answers, the connection is read no further.
 MAX_PIPELINED_COMMANDS = 32
-# While more bytes of answers wait in the transport, the connection is read no further.
-MAX_UNSENT_BYTES = 128 * 1024
-# While more bytes of a long answer wait in the transport, no more of it is written. The last piece may exceed
-# this limit.
-MAX_UNSENT_STREAMED_BYTES = 16 * 1024
-MAX_COMMAND_BYTES = 128 * 1024  # the largest command, without a streamed value
+MAX_COMMAND_BYTES = STREAMING_THRESHOLD_BYTES + MAX_COMMAND_HEAD_BYTES  # without a streamed value
 MAX_ARGUMENTS = 16  # a request has at most five, and the set-up commands of client libraries few more
 READ_BUFFER_BYTES = 64 * 1024
 # Bytes that are read and discarded after the last command. A peer that sends more is read no further while
@@ -69,17 +72,17 @@
         self.validated = False  # it has sent a valid request and got a place for it
         # It got no place when it was opened, and is closed unless what arrives first is a request.
         self.surplus = False
-        self.slots: deque[Slot] = deque()
         self.streamed_body: StreamedRequestBody | None = None  # a long value that is still arriving
         self.streamed_body_slot: Slot | None = None  # slot of the command with that value
         self.last_used_s = time.monotonic()  # last time a command arrived or an answer was written
         self.receiving = ReceiveWatch(wait_started_at_s=self.last_used_s)
-        self.delivery = DeliveryWatch()
         self.received_at_ms = now_ms()  # time at which bytes last arrived
         self.reading_paused = False
         self.parser = RespParser(MAX_ARGUMENTS, MAX_COMMAND_BYTES, STREAMING_THRESHOLD_BYTES, MAX_VALUE_BYTES)
+        ledger = server.buffer_budget.ledger
+        self._held_commands = MemoryEntry(ledger, MemoryUse.COMMANDS)
+        self.answers = AnswerWriter(MemoryEntry(ledger, MemoryUse.ANSWERS))
         self._has_unparsed_bytes = False  # bytes were received that may contain a complete command
-        self._writing_paused = False
         self._pumping = False  # `pump` is running; prevents recursion
         self.half_closed_at_s = 0.0
         self._discarded_bytes = 0  # number of bytes received after the last command that is answered
@@ -89,6 +92,11 @@
         """The guard of the server, which counts violated invariants."""
         return self.server.guard
 
+    @property
+    def slots(self) -> deque[Slot]:
+        """The slots of the commands that are read and whose answers are not written yet."""
+        return self.answers.slots
+
     @property
     def closing(self) -> bool:
         """Whether the connection answers no further command."""
@@ -99,7 +107,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See asyncio.BaseProtocol."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport is not a subclass
-        self.transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+        self.answers.attach(self.transport)
         # If the peer has already reset the connection, its address is not available.
         self.peer_address = (self.transport.get_extra_info("peername") or ("",))[0]
         self.server.on_connection_opened(self)
@@ -110,22 +118,24 @@
         self.lost = True
         self.server.on_connection_lost(self)
         self._abandon_requests()
+        self.update_memory_use()
 
     def pause_writing(self) -> None:
         """See asyncio.BaseProtocol. Reading pauses too: answers to further commands would fill memory."""
-        self._writing_paused = True
+        self.answers.paused = True
         self._update_reading()
 
     def resume_writing(self) -> None:
         """See asyncio.BaseProtocol."""
-        self._writing_paused = False
+        self.answers.paused = False
         self.pump()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """See asyncio.BufferedProtocol."""
+        budget = self.server.buffer_budget
         if self.streamed_body is None:
-            return self.server.read_buffer
-        return self.server.read_buffer[: self.streamed_body.buffer_budget.window_bytes]
+            return self.server.read_buffer[: budget.ledger.buffer_bytes]
+        return self.server.read_buffer[: budget.window_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         """See asyncio.BufferedProtocol."""
@@ -137,10 +147,17 @@
             self._discard(len(data))  # no further command is answered, and the bytes must not fill memory
             return
         self.received_at_ms = now_ms()
+        self._limit_buffered_value()
         self.parser.feed(data)
         self._has_unparsed_bytes = True
         self.pump()
 
+    def _limit_buffered_value(self) -> None:
+        """Choose which values of the commands that arrive now are streamed instead of buffered."""
+        threshold_bytes = self.server.buffer_budget.ledger.buffer_bytes
+        self.parser.streaming_threshold_bytes = threshold_bytes
+        self.parser.max_bytes = threshold_bytes + MAX_COMMAND_HEAD_BYTES
+
     # ---- commands in, answers out ----
 
     def pump(self) -> None:
@@ -162,15 +179,34 @@
             self.close_gracefully()
         elif self.surplus and not self.validated and self.streamed_body is None:
             self.server.places.evict(self, EvictionReason.NO_EVICTABLE_CONNECTION)
+        self.update_memory_use()
         self._update_reading()
 
+    def _write_answers(self) -> None:
+        if self.answers.write():
+            self.last_used_s = time.monotonic()
+            self.server.places.record_use(self)
+
     def closes_for_drain(self) -> bool:
         """Whether a drain closes this connection now: it does not while a request is arriving."""
         return self.server.closing_connections and not self.parser.has_partial_value()
 
     def _is_blocked(self) -> bool:
-        body_full = self.streamed_body is not None and self.streamed_body.full
-        return body_full or self._writing_paused or self.closing or len(self.slots) >= MAX_PIPELINED_COMMANDS
+        if self.answers.paused or self.closing:
+            return True
+        if self.streamed_body is not None:
+            return self.streamed_body.full
+        return self._must_wait_for_answers()
+
+    def _must_wait_for_answers(self) -> bool:
+        """Whether the next command may begin only after earlier ones have their answers.
+
+        While memory is short, only one command of each connection is processed at a time. The answer to that
+        command always makes room for the next one, so that no connection waits for others.
+        """
+        if len(self.slots) >= MAX_PIPELINED_COMMANDS:
+            return True
+        return bool(self.slots) and self.server.buffer_budget.ledger.is_short
 
     def _process_commands(self) -> None:
         try:
@@ -223,39 +259,10 @@
             body.end()
         return True
 
-    def begin_streaming(self) -> None:
-        """Prepare for a long answer: from now on only a few bytes may wait in the transport."""
-        if self.transport is not None:
-            self.transport.set_write_buffer_limits(high=MAX_UNSENT_STREAMED_BYTES)
-        self.pump()
-
-    def _write_answers(self) -> None:
-        """Write the answers that are due, in the order of the commands."""
-        ready: list[bytes] = []
-        while self.slots and self._collect_answer(self.slots[0], ready):
-            self.slots.popleft()
-        if ready and self.transport is not None:
-            answers = ready[0] if len(ready) == 1 else b"".join(ready)
-            self.transport.write(answers)
-            self.delivery.written_bytes += len(answers)
-            self.last_used_s = time.monotonic()
-            self.server.places.record_use(self)
-
-    def _collect_answer(self, slot: Slot, ready: list[bytes]) -> bool:
-        """Add the bytes of an answer that may be written to `ready`; return whether all are added."""
-        if slot.response is None:
-            if slot.reply is None:
-                return False
-            ready.append(slot.reply)
-            return True
-        if not self._writing_paused:
-            ready.append(slot.response.take())
-        if not slot.response.written:
-            return False
-        slot.request_id = None
-        if slot.on_written is not None:
-            slot.on_written()
-        return True
+    def update_memory_use(self) -> None:
+        """Report to the ledger what this connection holds. Unsent bytes become fewer without an event."""
+        self._held_commands.set(self.parser.held_bytes if self.transport is not None else 0)
+        self.answers.update_memory_use()
 
     def _update_reading(self) -> None:
         """Pause or resume reading. After the last command reading goes on, to discard further bytes."""
@@ -363,8 +370,7 @@
 
     def _abandon_requests(self) -> None:
         """Abandon all requests of this connection, as no client waits for the answers."""
-        slots = self.slots
-        self.slots = deque()
+        slots = self.answers.detach()
         body = self.streamed_body
         self.streamed_body = None
         if body is not None:
--- a/switchline/clients/slot.py
+++ b/switchline/clients/slot.py
@@ -55,7 +55,7 @@
         self.answered = True
         self.response = response
         self.on_written = on_written
-        self.connection.begin_streaming()
+        self.connection.pump()
 
     def abort_stream(self, reply: bytes) -> None:
         """Abandon a long answer that can't be completed, in a way that the client can detect.
--- a/switchline/clients/supervision.py
+++ b/switchline/clients/supervision.py
@@ -27,16 +27,19 @@
     """
     if connection.transport is None:
         return
+    connection.update_memory_use()
     unsent_bytes = connection.transport.get_write_buffer_size()
-    if connection.delivery.has_timed_out(now_s, unsent_bytes, is_streaming(connection)):
-        unread_s = now_s - connection.delivery.unread_started_at_s
+    if connection.answers.delivery.has_timed_out(now_s, unsent_bytes, is_streaming(connection)):
+        unread_s = now_s - connection.answers.delivery.unread_started_at_s
         log.warning("client has not read its answers for %.0f s; its connection is aborted", unread_s)
         connection.server.places.evict(connection, EvictionReason.UNREAD_REPLIES)
     elif connection.state is ConnectionState.HALF_CLOSED:
         if now_s - connection.half_closed_at_s > LINGER_TIMEOUT_S and not unsent_bytes:
             connection.close()
-    elif connection.closing or connection.reading_paused:
-        return  # its answers are due first, and nothing more is read from it until then
+    elif connection.closing:
+        return  # its answers are due first
+    elif connection.reading_paused:
+        connection.detect_client_close()  # nothing is read from it, so that the event loop does not notice
     elif has_receive_timed_out(connection, now_s):
         connection.server.metrics.evictions[EvictionReason.INCOMPLETE_COMMAND] += 1
         connection.fail_protocol("no whole command in time")
--- /dev/null
+++ b/switchline/net/memory.py
@@ -0,0 +1,96 @@
+"""The ledger of the bytes that the gateway holds for its peers, and the limits that follow from it.
+
+One connection can make the gateway hold little, but all connections together could make it hold more than its
+memory limit. So each owner of buffers reports what it holds to one ledger, and the ledger decides whether a
+request is accepted, whether a further pipelined command is processed, and how much is read at once.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+KIBIBYTE = 1024
+MEBIBYTE = 1024 * KIBIBYTE
+# A value up to this length is buffered completely; a longer one is streamed.
+STREAMING_THRESHOLD_BYTES = 64 * KIBIBYTE
+MAX_VALUE_BYTES = 4 * MEBIBYTE
+# The threshold, and the size of one read, once the ledger is short of memory.
+REDUCED_BUFFER_BYTES = 8 * KIBIBYTE
+MAX_COMMAND_HEAD_BYTES = 8 * KIBIBYTE  # all of a command but its value
+# Reserved for the answer to each request in flight, as its length is not known before it arrives.
+ANSWER_RESERVE_BYTES = STREAMING_THRESHOLD_BYTES
+PROCESS_BYTES = 16 * MEBIBYTE  # memory of the process that has no peers
+# Share of the rest of the memory limit that the ledger may hold; copies and fragmentation take the others.
+LEDGER_SHARE_RATIO = 3 / 8
+MIN_LEDGER_BYTES = 6 * MEBIBYTE
+# Above this share of its limit memory is short: pipelined commands wait, and buffers are smaller.
+SHORTAGE_RATIO = 1 / 2
+
+
+class MemoryUse(Enum):
+    """What bytes are held for; the value is the last part of the metric's name."""
+
+    COMMANDS = "commands"  # commands of clients that are not parsed yet
+    REQUESTS = "requests"  # the values of requests in flight, and the memory reserved for their answers
+    ANSWERS = "answers"  # answers that the operating system has not taken yet
+
+
+class MemoryLedger:
+    """Owns the count of the bytes that are held for peers.
+
+    Args:
+        memory_limit_bytes: The memory limit of the process.
+    """
+
+    def __init__(self, memory_limit_bytes: int) -> None:
+        available_bytes = max(0, memory_limit_bytes - PROCESS_BYTES)
+        self.limit_bytes = max(MIN_LEDGER_BYTES, int(available_bytes * LEDGER_SHARE_RATIO))
+        self.shortage_bytes = int(self.limit_bytes * SHORTAGE_RATIO)
+        self.used_bytes = 0
+        self.used_by_kind = dict.fromkeys(MemoryUse, 0)
+
+    def change(self, use: MemoryUse, difference_bytes: int) -> None:
+        """Count bytes that are held from now on, or no longer if the difference is negative."""
+        self.used_by_kind[use] += difference_bytes
+        self.used_bytes += difference_bytes
+
+    @property
+    def is_short(self) -> bool:
+        """Whether so much memory is in use that pipelined commands must wait and buffers must be small."""
+        return self.used_bytes > self.shortage_bytes
+
+    def admits_request(self, size_bytes: int) -> bool:
+        """Whether there is memory for one more request and its answer; `size_bytes` includes both."""
+        return self.used_bytes + size_bytes <= self.limit_bytes
+
+    @property
+    def buffer_bytes(self) -> int:
+        """The longest value that is buffered completely, and the most bytes of one read, at present."""
+        return REDUCED_BUFFER_BYTES if self.is_short else STREAMING_THRESHOLD_BYTES
+
+    def gauges(self) -> dict[str, int]:
+        """Return the bytes in use by kind, and their limit, by metric name."""
+        gauges = {f"memory.{use.value}": held_bytes for use, held_bytes in self.used_by_kind.items()}
+        return gauges | {"memory.limit": self.limit_bytes}
+
+
+class MemoryEntry:
+    """The bytes that one owner holds for one use.
+
+    Args:
+        ledger: The ledger that counts them.
+        use: What they are held for.
+    """
+
+    __slots__ = ("held_bytes", "ledger", "use")
+
+    def __init__(self, ledger: MemoryLedger, use: MemoryUse) -> None:
+        self.ledger = ledger
+        self.use = use
+        self.held_bytes = 0
+
+    def set(self, held_bytes: int) -> None:
+        """Report how many bytes the owner holds now."""
+        if held_bytes != self.held_bytes:
+            self.ledger.change(self.use, held_bytes - self.held_bytes)
+            self.held_bytes = held_bytes
--- a/switchline/net/resp.py
+++ b/switchline/net/resp.py
@@ -82,10 +82,14 @@
 
     def feed(self, data: bytes | memoryview) -> None:
         """Add bytes that have arrived."""
+        self._free_parsed()
+        self.buffer += data
+
+    def _free_parsed(self) -> None:
+        """Free the memory of the bytes that are parsed; an idle connection would keep them otherwise."""
         if self._offset:
             del self.buffer[: self._offset]
             self._offset = 0
-        self.buffer += data
 
     def has_partial_value(self) -> bool:
         """Whether bytes have arrived that do not belong to a value already returned."""
@@ -96,15 +100,31 @@
             or self.streamed_remaining_bytes >= 0
         )
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory for bytes that have arrived, or that the value being parsed has announced."""
+        return max(len(self.buffer), self._announced_bytes)
+
     def read_streamed(self, max_bytes: int) -> bytes:
         """Return up to `max_bytes` of the next bytes of the streamed string that have arrived."""
         max_length = max(0, min(self.streamed_remaining_bytes, max_bytes))
         end = min(self._offset + max_length, len(self.buffer))
-        data = bytes(memoryview(self.buffer)[self._offset : end])
-        self._offset = end
+        data = self._copy(end)
+        self._consume(end)
         self.streamed_remaining_bytes -= len(data)
         return data
 
+    def _copy(self, end: int) -> bytes:
+        """Return the bytes from the first one that is not parsed to `end`."""
+        with memoryview(self.buffer) as view:
+            return bytes(view[self._offset : end])
+
+    def _consume(self, end: int) -> None:
+        """Mark the bytes before `end` as parsed."""
+        self._offset = end
+        if end == len(self.buffer):
+            self._free_parsed()
+
     def next_value(self) -> Value | StreamedStringStarted | Literal[Incomplete.INCOMPLETE]:
         """Return the next value, or INCOMPLETE if its last byte has not arrived.
 
@@ -121,7 +141,10 @@
                 item = self._parse_bulk()
             else:
                 item = self._parse_line()
-            if item is INCOMPLETE or isinstance(item, StreamedStringStarted):
+            if item is INCOMPLETE:
+                self._free_parsed()
+                return INCOMPLETE
+            if isinstance(item, StreamedStringStarted):
                 return item
             if isinstance(item, int):  # the header of an array
                 self.array_items = []
@@ -145,7 +168,7 @@
             return INCOMPLETE
         if self.buffer[self._offset : end] != CRLF:
             raise ProtocolError("string is longer than its announced length")
-        self._offset = end
+        self._consume(end)
         self.streamed_remaining_bytes = NO_STRING
         return b""
 
@@ -161,7 +184,7 @@
             return INCOMPLETE
         kind = bytes(self.buffer[start : start + 1])
         text = bytes(self.buffer[start + 1 : end])
-        self._offset = end + len(CRLF)
+        self._consume(end + len(CRLF))
         if kind in SIMPLE_TYPES:
             return SimpleValue(kind, text)
         if text == NULL_LENGTH:
@@ -198,7 +221,7 @@
             return INCOMPLETE
         if self.buffer[string_end:end] != CRLF:
             raise ProtocolError("string is longer than its announced length")
-        value = bytes(self.buffer[self._offset : string_end])
-        self._offset = end
+        value = self._copy(string_end)
+        self._consume(end)
         self.bulk_length_bytes = NO_STRING
         return value
--- a/switchline/net/streams.py
+++ b/switchline/net/streams.py
@@ -1,15 +1,16 @@
 """Long values that are forwarded in pieces, and the memory budget of their buffers.
 
-A value longer than `STREAMING_THRESHOLD_BYTES` is never buffered completely. Its pieces are forwarded as they
-arrive, and reading from the sender pauses while the receiver is slower (backpressure).
+A value longer than the streaming threshold (`switchline/net/memory.py`) is never buffered completely. Its
+pieces are forwarded as they arrive, and reading from the sender pauses while the receiver is slower
+(backpressure).
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
-STREAMING_THRESHOLD_BYTES = 64 * 1024  # shorter values are buffered completely and can be retried
-MAX_VALUE_BYTES = 4 * 1024 * 1024
+from switchline.net.memory import MemoryLedger
+
 # Share of the memory limit that one kind of buffer may use for all values together.
 BUFFER_SHARE_RATIO = 1 / 16
 MIN_WINDOW_BYTES = 8 * 1024
@@ -18,7 +19,7 @@
 
 
 class BufferBudget:
-    """Divides the memory for buffers among the values in transfer.
+    """Divides the memory for buffers among the values in transfer; has the ledger of all other memory.
 
     A value has three buffers of at most one window each: bytes kept for a retry, bytes that wait to be
     forwarded, and bytes that have just been read.
@@ -30,6 +31,7 @@
     def __init__(self, memory_limit_bytes: int) -> None:
         self.budget_bytes = int(memory_limit_bytes * BUFFER_SHARE_RATIO)
         self.active_values = 0  # values in transfer
+        self.ledger = MemoryLedger(memory_limit_bytes)
 
     @property
     def window_bytes(self) -> int:
--- a/switchline/operators/metrics.py
+++ b/switchline/operators/metrics.py
@@ -48,6 +48,7 @@
         self.handshake_waits = 0  # attempts that had to wait for a connection to a backend
         # Requests rejected because all request slots or connections were in use.
         self.rejected_for_capacity = 0
+        self.rejected_for_memory = 0  # requests rejected because the memory for them was used up
 
     def count_outcome(self, class_name: str, outcome: OutcomeKind) -> None:
         """Count a request of a class that has ended."""
@@ -64,6 +65,7 @@
         counts["handshakes.failed"] = self.handshakes_failed
         counts["handshakes.waited"] = self.handshake_waits
         counts["crowded"] = self.rejected_for_capacity
+        counts["memory.declined"] = self.rejected_for_memory
         return counts
 
     def render(
--- a/switchline/requests/lifecycle.py
+++ b/switchline/requests/lifecycle.py
@@ -10,6 +10,7 @@
 from switchline.clients.slot import Slot
 from switchline.clock import now_ms
 from switchline.net.descriptors import DescriptorOwner
+from switchline.net.memory import ANSWER_RESERVE_BYTES, MemoryEntry, MemoryUse
 from switchline.operators.metrics import OutcomeKind
 from switchline.policy import interface as api
 from switchline.policy.quota.fair_shares import PRESSURE_RATIO, FairShares
@@ -34,6 +35,7 @@
         self.shares = FairShares(context.max_in_flight)  # divides the requests in flight among customers
         self.max_in_flight = context.max_in_flight
         self.timers = context.timers
+        self.ledger = context.buffer_budget.ledger
         self.backends = context.backends
         self.metrics = context.metrics
         self.report = context.report
@@ -58,10 +60,17 @@
         if self.is_shutting_down or not self.shares.admits(event.customer):
             self._reject_for_capacity(event.request_class, slot)
             return
+        held_bytes = command.held_bytes + ANSWER_RESERVE_BYTES
+        if not self.ledger.admits_request(held_bytes):
+            self._reject_for_memory(event.request_class, slot)
+            return
         self.report.counts["requests taken"] += 1
         self.shares.take(event.customer)
         request_class = self.reader.classes[event.request_class]
-        request = self.in_flight[command.id] = Request(command, slot, request_class, event.expires_ms)
+        request = self.in_flight[command.id] = Request(
+            command, slot, request_class, event.expires_ms, MemoryEntry(self.ledger, MemoryUse.REQUESTS)
+        )
+        request.memory.set(held_bytes)
         request.expiry_timer = self.timers.at(request.expires_at_ms, partial(self._on_expired, request))
         self.send_event(event)
 
@@ -75,9 +84,23 @@
 
     def _reject_for_capacity(self, class_name: str, slot: Slot) -> None:
         """Reject a request because of the gateway's load, before the policy sees it."""
-        self.metrics.count_outcome(class_name, OutcomeKind.DECLINED)
         self.metrics.rejected_for_capacity += 1
         self.report.counts["refused for room"] += 1
+        self._reject(class_name, slot)
+
+    def _reject_for_memory(self, class_name: str, slot: Slot) -> None:
+        """Reject a request because the memory for requests and answers is used up."""
+        log.warning(
+            log_events.MEMORY_USED_UP,
+            *(self.ledger.used_by_kind[use] for use in MemoryUse),
+            self.ledger.limit_bytes,
+        )
+        self.metrics.rejected_for_memory += 1
+        self.report.counts["refused for memory"] += 1
+        self._reject(class_name, slot)
+
+    def _reject(self, class_name: str, slot: Slot) -> None:
+        self.metrics.count_outcome(class_name, OutcomeKind.DECLINED)
         slot.answer(b"-BUSY %d\r\n" % CAPACITY_RETRY_AFTER_MS)
 
     def on_body_received(self, request_id: str) -> None:
@@ -146,6 +169,7 @@
         request = self.in_flight.pop(request_id, None)
         if request is not None:
             self.shares.release(request.command.customer)
+            request.memory.set(0)
         return request
 
     def drop_body(self, request: Request) -> None:
--- a/switchline/requests/request.py
+++ b/switchline/requests/request.py
@@ -9,6 +9,7 @@
 from switchline.clients.commands import Command
 from switchline.clients.slot import Slot
 from switchline.clock import Timer
+from switchline.net.memory import MemoryEntry
 from switchline.net.streams import StreamedResponse
 from switchline.policy import interface as api
 
@@ -25,6 +26,7 @@
         slot: The place of the answer among the answers on the client's connection.
         request_class: The class of the request.
         expires_at_ms: When the client's timeout ends, in Unix milliseconds.
+        memory: The ledger's entry for its value and for its answer, until it has its final answer.
         attempts_made: The number of attempts started so far; also the number of the next attempt.
         sent_at_ms: When the last byte of an attempt was sent, in Unix milliseconds, by the attempt's number.
             Only of attempts that may have run.
@@ -38,6 +40,7 @@
     slot: Slot
     request_class: api.RequestClass
     expires_at_ms: float
+    memory: MemoryEntry
     attempts_made: int = 0
     sent_at_ms: dict[int, float] = field(default_factory=dict)
     in_flight: dict[int, Attempt] = field(default_factory=dict)
--- a/switchline/service/calls/status.py
+++ b/switchline/service/calls/status.py
@@ -64,6 +64,7 @@
         """Return connections by state, descriptors, and the gauges of the optional parts."""
         parts = self.parts
         gauges = parts.clients.gauges() | parts.backends.gauges() | parts.descriptors.gauges()
+        gauges |= parts.buffers.ledger.gauges()
         if self.persistence is not None:
             gauges |= self.persistence.gauges()
         gauges |= self.fleet.gauges()
--- a/tests/clients/test_clients.py
+++ b/tests/clients/test_clients.py
@@ -12,9 +12,9 @@
 import pytest
 from driver_scene import DriverScene
 
+from switchline.clients import answers, supervision, watchdog
 from switchline.clients import connection as connections
 from switchline.clients import server as clients
-from switchline.clients import supervision, watchdog
 from switchline.clients.commands import Command, parse_command
 from switchline.clients.slot import Slot
 from switchline.net.descriptors import Budget
@@ -236,8 +236,7 @@
                 len(slot.reply or b"") for slot in connection.slots
             )
             assert (
-                pending_bytes
-                <= connections.MAX_UNSENT_BYTES + (connections.MAX_PIPELINED_COMMANDS + 2) * 66_000
+                pending_bytes <= answers.MAX_UNSENT_BYTES + (connections.MAX_PIPELINED_COMMANDS + 2) * 66_000
             )
             for _ in range(ping_count):  # once the client reads, it gets all answers
                 assert await peer.receive() == b"x" * 65536
--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -11,8 +11,8 @@
 
 from switchline.clients import server as clients
 from switchline.clients import watchdog
+from switchline.net.memory import MAX_VALUE_BYTES
 from switchline.net.streams import (
-    MAX_VALUE_BYTES,
     MIN_WINDOW_BYTES,
     BufferBudget,
     StreamedRequestBody,
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -31,6 +31,7 @@
         async with running(World(backend)) as world:
             initial = await stats(world)
             assert initial.pop("discovered") == 1 and initial.pop("descriptors.limit") == 1024
+            assert initial.pop("memory.limit") == (192 - 16) * 1024 * 1024 * 3 // 8
             assert 0 < initial.pop("descriptors.held") < 30 and not any(initial.values())
             assert {"succeeded.view", "declined.wipe", "aborted.wipe", "forwards", "ejected"} < set(initial)
             peer = await world.client()
--- /dev/null
+++ b/tests/service/test_memory_limit.py
@@ -0,0 +1,214 @@
+"""A gateway process stays under its memory limit, whatever its clients send, leave unsent or do not read.
+
+The memory is that of a real process. Its anonymous memory is compared with the limit of the configuration,
+over which the platform kills a gateway.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+from gateway_process import Program, program
+
+from testbed.network.sockets import LOCAL, Peer, Reply, encode
+from testbed.stand_ins.backends import Backend
+from testbed.stand_ins.single_gateway import World, in_loop, request
+
+VALUE = b"v" * 60 * 1024  # buffered completely, as it is under 64 KiB
+LONG_VALUE = b"v" * 1024 * 1024  # streamed
+COMMANDS = 32  # as many as the gateway processes at once on one connection
+# The largest segment on an Ethernet. With those of loopback the system would hold some MB a connection.
+SEGMENT_BYTES = 1460
+RECEIVE_BUFFER_BYTES = 32 * 1024
+SILENCE_S = 2.0  # time in which clients neither read nor send; shorter than the gateway's time limits
+
+RETRY_DELAY_S = 0.2
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Limits of a configuration, and how many clients may connect: up to a third of the descriptors."""
+
+    memory_mb: int
+    sockets: int
+
+    @property
+    def clients(self) -> int:
+        return self.sockets // 3
+
+
+SMALL = Limits(memory_mb=32, sockets=256)
+SMALL_WITH_MANY_CLIENTS = Limits(memory_mb=32, sockets=1024)
+MEDIUM = Limits(memory_mb=64, sockets=512)
+ALL_LIMITS = [SMALL, SMALL_WITH_MANY_CLIENTS, MEDIUM]
+
+
+class PeakMemory:
+    """The most anonymous memory of a process."""
+
+    def __init__(self, pid: int) -> None:
+        self.status = Path(f"/proc/{pid}/status")
+        self.peak_mb = 0.0
+
+    async def watch(self) -> None:
+        while True:
+            for line in self.status.read_text().splitlines():
+                if line.startswith("RssAnon:"):
+                    self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
+            await asyncio.sleep(0.02)
+
+
+def reply_with(value: bytes) -> bytes:
+    return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value)
+
+
+@asynccontextmanager
+async def gateway(
+    folder: Path, limits: Limits, reply: bytes = reply_with(VALUE)
+) -> AsyncIterator[tuple[Program, PeakMemory]]:
+    """Run a gateway in front of backends that answer each command with `reply`; watch its memory."""
+
+    async def script(command: list[bytes]) -> Reply:
+        return reply
+
+    backends = [Backend(script) for _ in range(4)]
+    world = World(*backends, memory_mb=limits.memory_mb, sockets=limits.sockets)
+    async with program(folder, world) as running_program:
+        peer = await connect(running_program.port)
+        peer.close()
+        memory = PeakMemory(running_program.process.pid)
+        watching = asyncio.create_task(memory.watch())
+        try:
+            yield running_program, memory
+        finally:
+            watching.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await watching
+
+
+async def connect(port: int) -> Peer:
+    """Connect a client with small socket buffers; wait until the gateway listens."""
+    while True:
+        client = socket.socket()
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        client.setblocking(False)
+        try:
+            await asyncio.get_running_loop().sock_connect(client, (LOCAL, port))
+        except ConnectionRefusedError:
+            client.close()
+            await asyncio.sleep(0.01)
+            continue
+        return Peer(*await asyncio.open_connection(sock=client, limit=RECEIVE_BUFFER_BYTES))
+
+
+async def receive_all(peer: Peer, count: int, value: bytes = VALUE) -> int:
+    """Receive answers; return how many of them are the value."""
+    served = 0
+    for _ in range(count):
+        answer = await peer.receive()
+        assert answer == value or str(answer).startswith(("BUSY", "ERR")), answer
+        served += answer == value
+    return served
+
+
+async def ask_until_served(peer: Peer, id: bytes) -> None:
+    """Send a request with a value, and again each time that it is rejected, until it is served."""
+    answer, attempt = None, 0
+    while answer != VALUE:
+        peer.send(*request(id + b"%04d" % attempt, name=b"wipe", body=VALUE))
+        answer = await peer.receive()
+        assert answer == VALUE or str(answer).startswith("BUSY"), answer
+        attempt += 1
+        await asyncio.sleep(RETRY_DELAY_S if answer != VALUE else 0)
+
+
+# Guards against: slow readers of many pipelined answers take the gateway over its limit (review case 2).
+@pytest.mark.parametrize("limits", ALL_LIMITS, ids=str)
+def test_pipelined_answers_to_clients_that_do_not_read_stay_under_the_memory_limit(
+    limits: Limits, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        async with gateway(tmp_path, limits) as (running_program, memory):
+            peers = []
+            for number in range(limits.clients):
+                peers.append(await connect(running_program.port))
+                for position in range(COMMANDS):
+                    peers[-1].send(*request(b"%06d%02d" % (number, position)))
+            await asyncio.sleep(SILENCE_S)
+            served = await asyncio.gather(*(receive_all(peer, COMMANDS) for peer in peers))
+            assert memory.peak_mb < limits.memory_mb
+            assert sum(served) >= limits.clients  # one value each, in the mean
+
+    in_loop(scenario)
+
+
+# Guards against: many clients that send most of a value and no more take it over the limit.
+@pytest.mark.parametrize("limits", ALL_LIMITS, ids=str)
+def test_commands_that_clients_leave_incomplete_stay_under_the_memory_limit(
+    limits: Limits, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        async with gateway(tmp_path, limits) as (running_program, memory):
+            peers = [await connect(running_program.port) for _ in range(limits.clients)]
+            for number, peer in enumerate(peers):
+                command = encode(*request(b"%08d" % number, name=b"wipe", body=VALUE))
+                peer.writer.write(command[:-100])
+            await asyncio.sleep(SILENCE_S)
+            assert memory.peak_mb < limits.memory_mb
+
+    in_loop(scenario)
+
+
+# Guards against: a value each way of every client at once takes it over the limit, though nobody is slow.
+@pytest.mark.parametrize("limits", ALL_LIMITS, ids=str)
+def test_values_both_ways_of_all_clients_at_once_stay_under_the_memory_limit(
+    limits: Limits, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        async with gateway(tmp_path, limits) as (running_program, memory):
+            peers = [await connect(running_program.port) for _ in range(limits.clients)]
+            await asyncio.gather(
+                *(ask_until_served(peer, b"%04d" % number) for number, peer in enumerate(peers))
+            )
+            assert memory.peak_mb < limits.memory_mb
+
+    in_loop(scenario)
+
+
+# Guards against: long values each way of many clients at once take it over the limit.
+@pytest.mark.parametrize("limits", ALL_LIMITS, ids=str)
+def test_long_values_both_ways_stay_under_the_memory_limit(limits: Limits, tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with gateway(tmp_path, limits, reply_with(LONG_VALUE)) as (running_program, memory):
+            peers = [await connect(running_program.port) for _ in range(limits.clients // 4)]
+            for number, peer in enumerate(peers):
+                peer.send(*request(b"%06d" % number, name=b"wipe", body=LONG_VALUE))
+            served = await asyncio.gather(*(receive_all(peer, 1, LONG_VALUE) for peer in peers))
+            assert memory.peak_mb < limits.memory_mb
+            assert sum(served)
+
+    in_loop(scenario)
+
+
+# Guards against: backends that leave most of their answers incomplete take it over the limit.
+@pytest.mark.parametrize("limits", ALL_LIMITS, ids=str)
+def test_answers_that_backends_leave_incomplete_stay_under_the_memory_limit(
+    limits: Limits, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        async with gateway(tmp_path, limits, reply_with(VALUE)[:-100]) as (running_program, memory):
+            peers = [await connect(running_program.port) for _ in range(limits.clients)]
+            for number, peer in enumerate(peers):
+                peer.send(*request(b"%06d" % number, name=b"wipe"))
+            await asyncio.sleep(SILENCE_S)
+            assert memory.peak_mb < limits.memory_mb
+
+    in_loop(scenario)
--- a/tests/service/test_process.py
+++ b/tests/service/test_process.py
@@ -9,14 +9,11 @@
 import socket
 import subprocess
 import sys
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import pytest
-from gateway_process import ROOT, connect_client, start_gateway
+from gateway_process import ROOT, connect_client, program, start_gateway
 
 from switchline import clock
 from switchline.clients.server import ClientServer
@@ -28,43 +25,12 @@
 from switchline.operators.metrics import Metrics
 from switchline.service.drain import LAST_ANSWERS_TIMEOUT_S
 from switchline.service.service import Service
-from testbed.network.addresses import claimed_port
 from testbed.network.sockets import LOCAL, Reply, encode, until
 from testbed.stand_ins.agents import host
 from testbed.stand_ins.backends import Backend
 from testbed.stand_ins.single_gateway import World, in_loop, request, running
 
 
-@dataclass
-class Program:
-    """The program as a process; its configuration names the counter and discovery of the first world."""
-
-    port: int
-    config: Path
-    config_values: dict[str, Any]
-    process: asyncio.subprocess.Process
-
-
-@asynccontextmanager
-async def program(folder: Path, *worlds: World) -> AsyncIterator[Program]:
-    """Start the program, configured for the first of some worlds; kill it at the end if it still runs."""
-    servers = [server for world in worlds for server in (*world.backends, world.counter, world.discovery)]
-    for server in servers:
-        await server.start()
-    port, config = claimed_port(), folder / "config.json"
-    config_values = {**worlds[0].config(), "listen": f"{LOCAL}:{port}"}
-    config.write_text(json.dumps(config_values))
-    process = await start_gateway(config)
-    try:
-        yield Program(port, config, config_values, process)
-    finally:
-        if process.returncode is None:
-            process.kill()
-        await process.wait()
-        for server in servers:
-            await server.stop()
-
-
 def test_sigterm_answers_requests_in_flight_and_exits_with_0(tmp_path: Path) -> None:
     async def scenario() -> None:
         may_answer = asyncio.Event()
