A long answer with commands behind it is collected before it is passed on

Cause: an answer was passed on as it came, whatever else its connection carried. RESP2 tells a value that is cut off by a close alone, so from its first byte on all that was read behind it was at risk. abort_stream closed the transport itself, past the guard of all other closes; that guard could have counted it, not prevented it. Change: a part of a long answer is written only while no other command of its connection is read, and none is read until its end. With others behind it, it is collected whole, in memory that the ledger reserves in turn; a break before its first byte becomes -ERR failed. Without memory it fails alone at its deadline. The close within an answer counts against the guard. The end of the process no longer fails an answer that has arrived whole. A client that leaves while it is read no further is found by the check of its connection.

--- a/switchline/backends/connection.py
+++ b/switchline/backends/connection.py
@@ -29,7 +29,7 @@
     StreamedStringStarted,
     Value,
 )
-from switchline.net.streams import StreamedResponse
+from switchline.net.streams import Forwarding, StreamedResponse
 from switchline.policy.interface import Outcome
 
 if TYPE_CHECKING:
@@ -375,6 +375,11 @@
             and now - self._last_progress_ms > STALL_TIMEOUT_MS
         )
 
+    def has_waited_for_memory(self, now: float) -> bool:
+        """Whether the rest of a long value has waited for memory of the gateway for `STALL_TIMEOUT_MS`."""
+        waiting = self._answer is not None and self._answer.forwarding is Forwarding.WAITING
+        return waiting and now - self._last_progress_ms > STALL_TIMEOUT_MS
+
     def outcome_if_broken(self) -> Outcome:
         """Return the outcome if the connection breaks now.
 
--- a/switchline/backends/pool.py
+++ b/switchline/backends/pool.py
@@ -312,6 +312,8 @@
             if connection.is_stalled(now):
                 log.warning("backend left a long value hanging: %s", connection.address)
                 connection.end(connection.outcome_if_broken())
+            elif connection.has_waited_for_memory(now):
+                connection.end(Outcome.CANCELLED)  # the backend is not at fault
         if self._failed_opens:
             last_error = self._failed_opens[-1]
             log.warning(
--- a/switchline/clients/answers.py
+++ b/switchline/clients/answers.py
@@ -4,10 +4,12 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 from switchline.clients.slot import Slot
 from switchline.clients.watchdog import DeliveryWatch
 from switchline.net.memory import MemoryEntry
+from switchline.net.streams import StreamedResponse
 
 # While more bytes of answers wait in the transport, the connection is read no further and no more answers are
 # written. The last answer, or the last piece of a long one, may exceed this limit.
@@ -38,13 +40,15 @@
 
     Args:
         memory: The ledger's entry for the bytes of answers.
+        has_partial_command: Returns whether bytes have been read that no slot stands for yet.
     """
 
-    def __init__(self, memory: MemoryEntry) -> None:
+    def __init__(self, memory: MemoryEntry, has_partial_command: Callable[[], bool]) -> None:
         self.slots: deque[Slot] = deque()
         self.delivery = DeliveryWatch()
         self.paused = False  # too many bytes wait in the transport
         self._memory = memory
+        self._has_partial_command = has_partial_command
         self._transport: asyncio.Transport | None = None
         self._pending = PendingWrites()
 
@@ -64,6 +68,21 @@
         self._transport = None
         return slots
 
+    @property
+    def is_streaming(self) -> bool:
+        """Whether a part of a long answer is written of which the backend has not sent the rest."""
+        response = self._current_response
+        return response is not None and response.started and not response.complete
+
+    @property
+    def has_further_commands(self) -> bool:
+        """Whether bytes of a command have been read that follows the one whose answer is due.
+
+        If a long answer is cut off after a part of it was written, only the end of the connection can show
+        this to the client. Then these commands would get no answer.
+        """
+        return len(self.slots) > 1 or self._has_partial_command()
+
     def write(self) -> bool:
         """Write the answers that are due, in the order of the commands; return whether there were any.
 
@@ -80,6 +99,11 @@
         unsent_bytes = self._transport.get_write_buffer_size() if self._transport is not None else 0
         self._memory.set(waiting_bytes + self._pending.held_bytes(unsent_bytes))
 
+    @property
+    def _current_response(self) -> StreamedResponse | None:
+        """The long answer that is due; None if none is."""
+        return self.slots[0].response if self.slots else None
+
     def _write_piece(self) -> bool:
         """Write answers of about MAX_UNSENT_BYTES, in one call; return whether bytes were written."""
         ready: list[bytes] = []
@@ -102,8 +126,10 @@
                 return False
             ready.append(slot.reply)
             return True
-        if piece := slot.response.take():
-            ready.append(piece)
+        if not slot.response.started and self.has_further_commands:
+            slot.response.collect()
+        if slot.response.writable:
+            ready.append(slot.response.take())
         if not slot.response.written:
             return False
         slot.request_id = None
--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -81,7 +81,7 @@
         self.parser = RespParser(MAX_ARGUMENTS, MAX_COMMAND_BYTES, STREAMING_THRESHOLD_BYTES, MAX_VALUE_BYTES)
         ledger = server.buffer_budget.ledger
         self._held_commands = MemoryEntry(ledger, MemoryUse.COMMANDS)
-        self.answers = AnswerWriter(MemoryEntry(ledger, MemoryUse.ANSWERS))
+        self.answers = AnswerWriter(MemoryEntry(ledger, MemoryUse.ANSWERS), self.parser.has_partial_value)
         self._has_unparsed_bytes = False  # bytes were received that may contain a complete command
         self._pumping = False  # `pump` is running; prevents recursion
         self.half_closed_at_s = 0.0
@@ -204,7 +204,7 @@
         While memory is short, only one command of each connection is processed at a time. The answer to that
         command always makes room for the next one, so that no connection waits for others.
         """
-        if len(self.slots) >= MAX_PIPELINED_COMMANDS:
+        if len(self.slots) >= MAX_PIPELINED_COMMANDS or self.answers.is_streaming:
             return True
         return bool(self.slots) and self.server.buffer_budget.ledger.is_short
 
@@ -334,6 +334,19 @@
             return
         self.transport.close()
 
+    def close_in_answer(self) -> None:
+        """Close this connection within a long answer that is cut off: only this shows it to the client.
+
+        No other command may have been read, as its answer is lost; this is counted as a violated invariant.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.answers.has_further_commands:
+            self.guard.record_violation(
+                Invariant.NO_UNANSWERED_CLOSE, f"answers due when one was cut off: {len(self.slots) - 1}"
+            )
+        self.transport.close()
+
     def close_gracefully(self) -> None:
         """Half-close the connection after its last answer, and close it once the peer has closed too.
 
--- a/switchline/clients/slot.py
+++ b/switchline/clients/slot.py
@@ -69,5 +69,5 @@
             self.response = None
             self.reply = reply
             self.connection.pump()
-        elif self.connection.transport is not None:
-            self.connection.transport.close()
+        else:
+            self.connection.close_in_answer()
--- a/switchline/log_events.py
+++ b/switchline/log_events.py
@@ -23,7 +23,10 @@
 # Requests and attempts.
 REPORT: Final = "last %d s: %s; now: %s"
 ATTEMPT_FAILED: Final = "attempt failed: request=%s attempt=%d backend=%x outcome=%s lag_ms=%.0f"
-MEMORY_USED_UP: Final = "request rejected for memory: commands=%d requests=%d answers=%d limit=%d"
+MEMORY_USED_UP: Final = (
+    "request rejected for memory: commands=%d requests=%d answers=%d collected=%d limit=%d"
+)
+ANSWER_NOT_COLLECTED: Final = "no memory in time to collect a long answer: request=%s length=%d"
 REQUEST_UNANSWERED: Final = "request unanswered at its deadline: request=%s"
 
 # Operator overrides and records on disk.
--- a/switchline/net/memory.py
+++ b/switchline/net/memory.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+from collections import deque
 from enum import Enum
+from typing import Protocol
 
 KIBIBYTE = 1024
 MEBIBYTE = 1024 * KIBIBYTE
@@ -25,6 +27,9 @@
 MIN_LEDGER_BYTES = 6 * MEBIBYTE
 # Above this share of its limit memory is short: pipelined commands wait, and buffers are smaller.
 SHORTAGE_RATIO = 1 / 2
+# Share of the ledger's limit for long answers that are collected, and the least memory for them.
+COLLECTION_RATIO = 1 / 2
+MIN_COLLECTION_BYTES = MAX_VALUE_BYTES
 
 
 class MemoryUse(Enum):
@@ -33,6 +38,7 @@
     COMMANDS = "commands"  # commands of clients that are not parsed yet
     REQUESTS = "requests"  # the values of requests in flight, and the memory reserved for their answers
     ANSWERS = "answers"  # answers that the operating system has not taken yet
+    COLLECTED = "collected"  # reserved for long answers that are collected before they are forwarded
 
 
 class MemoryLedger:
@@ -74,6 +80,57 @@
         return gauges | {"memory.limit": self.limit_bytes}
 
 
+class Collectable(Protocol):
+    """A long value that is to be held in memory as a whole."""
+
+    length_bytes: int
+
+    def start_collecting(self) -> None:
+        """Take all bytes of the value, as memory for them is reserved."""
+
+
+class CollectionQueue:
+    """Reserves memory for long values that are collected, in the order in which they ask for it.
+
+    Args:
+        ledger: The ledger that counts the reserved memory.
+    """
+
+    def __init__(self, ledger: MemoryLedger) -> None:
+        self.ledger = ledger
+        self.limit_bytes = max(MIN_COLLECTION_BYTES, int(ledger.limit_bytes * COLLECTION_RATIO))
+        self.waiting: deque[Collectable] = deque()
+        self._reserved: set[Collectable] = set()
+
+    def enter(self, value: Collectable) -> None:
+        """Reserve memory for a value, now or as soon as others have left; then it starts to be collected."""
+        self.waiting.append(value)
+        self._serve()
+
+    def leave(self, value: Collectable) -> None:
+        """Free the memory of a value, or withdraw it while it waits; nothing happens if it did not enter."""
+        if value in self._reserved:
+            self._reserved.remove(value)
+            self.ledger.change(MemoryUse.COLLECTED, -value.length_bytes)
+        elif value in self.waiting:
+            self.waiting.remove(value)
+        self._serve()
+
+    def _serve(self) -> None:
+        while self.waiting and self._fits(self.waiting[0]):
+            value = self.waiting.popleft()
+            self._reserved.add(value)
+            self.ledger.change(MemoryUse.COLLECTED, value.length_bytes)
+            value.start_collecting()
+
+    def _fits(self, value: Collectable) -> bool:
+        """Whether there is memory for a value; one at a time is collected even if requests use all of it."""
+        reserved_bytes = self.ledger.used_by_kind[MemoryUse.COLLECTED]
+        if reserved_bytes + value.length_bytes > self.limit_bytes:
+            return False
+        return not reserved_bytes or self.ledger.admits_request(value.length_bytes)
+
+
 class MemoryEntry:
     """The bytes that one owner holds for one use.
 
--- a/switchline/net/streams.py
+++ b/switchline/net/streams.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
+from enum import Enum, auto
 
-from switchline.net.memory import MemoryLedger
+from switchline.net.memory import CollectionQueue, MemoryLedger
 
 # Share of the memory limit that one kind of buffer may use for all values together.
 BUFFER_SHARE_RATIO = 1 / 16
@@ -32,6 +34,7 @@
         self.budget_bytes = int(memory_limit_bytes * BUFFER_SHARE_RATIO)
         self.active_values = 0  # values in transfer
         self.ledger = MemoryLedger(memory_limit_bytes)
+        self.collections = CollectionQueue(self.ledger)
 
     @property
     def window_bytes(self) -> int:
@@ -117,6 +120,14 @@
             self.on_capacity()
 
 
+class Forwarding(Enum):
+    """How a long answer is passed on: STREAMED, or WAITING -> COLLECTED."""
+
+    STREAMED = auto()  # each piece is written as soon as it has arrived
+    WAITING = auto()  # for memory, before it is collected
+    COLLECTED = auto()  # nothing is written before all of it has arrived
+
+
 class StreamedResponse:
     """A long value that is forwarded to a client. Owns the bytes that wait to be written.
 
@@ -128,24 +139,49 @@
 
     def __init__(self, buffer_budget: BufferBudget, length_bytes: int, on_data: Callable[[], None]) -> None:
         self.buffer_budget = buffer_budget
+        self.length_bytes = length_bytes
         self.on_data = on_data
+        self.forwarding = Forwarding.STREAMED
         self.started = False  # whether bytes have been taken for writing
         self.dropped = False
         self.on_capacity: Callable[[], None] | None = None  # called when reading from the backend may resume
-        self._complete = False  # whether the backend has sent the whole value
-        self._pieces = [b"$%d" % length_bytes + CRLF]
-        self._buffered_bytes = 0  # bytes of the value that wait to be written
+        self.complete = False  # whether the backend has sent the whole value
+        header = b"$%d" % length_bytes + CRLF
+        self._pieces = deque([header])
+        self._buffered_bytes = len(header)  # bytes that wait to be written
         buffer_budget.active_values += 1
 
     @property
     def full(self) -> bool:
         """Whether reading from the backend's connection must pause."""
+        if self.forwarding is Forwarding.COLLECTED:
+            return False
         return self._buffered_bytes >= self.buffer_budget.window_bytes
 
     @property
     def written(self) -> bool:
         """Whether the whole value has been taken for writing."""
-        return self._complete and not self._pieces
+        return self.complete and not self._pieces
+
+    @property
+    def writable(self) -> bool:
+        """Whether bytes may be written now."""
+        return bool(self._pieces) and (self.complete or self.forwarding is Forwarding.STREAMED)
+
+    def collect(self) -> None:
+        """Write nothing until the whole value has arrived, so that it can still be replaced by an error.
+
+        The value is collected in memory. Until memory is reserved for it, reading from the backend pauses.
+        """
+        if self.forwarding is Forwarding.STREAMED and not self.complete and not self.dropped:
+            self.forwarding = Forwarding.WAITING
+            self.buffer_budget.collections.enter(self)
+
+    def start_collecting(self) -> None:
+        """See `Collectable`."""
+        self.forwarding = Forwarding.COLLECTED
+        if self.on_capacity is not None:
+            self.on_capacity()
 
     def feed(self, data: bytes) -> None:
         """Add bytes received from the backend."""
@@ -154,10 +190,14 @@
         self.on_data()
 
     def take(self) -> bytes:
-        """Return and remove the bytes that wait to be written."""
-        data = b"".join(self._pieces)
-        self._pieces = []
-        self._buffered_bytes = 0
+        """Return and remove the next bytes to write, about one window at most."""
+        taken: list[bytes] = []
+        taken_bytes = 0
+        while self._pieces and taken_bytes < self.buffer_budget.window_bytes:
+            taken.append(self._pieces.popleft())
+            taken_bytes += len(taken[-1])
+        data = b"".join(taken)
+        self._buffered_bytes -= taken_bytes
         self.started = self.started or bool(data)
         if data and self.on_capacity is not None:
             self.on_capacity()
@@ -165,9 +205,10 @@
 
     def end(self) -> None:
         """Mark the value as complete: the backend has sent all of it."""
-        self._complete = True
+        self.complete = True
         self.on_capacity = None
         self._pieces.append(CRLF)
+        self._buffered_bytes += len(CRLF)
         self.on_data()
 
     def drop(self) -> None:
@@ -176,4 +217,5 @@
             self.dropped = True
             self.on_capacity = None
             self._pieces.clear()
+            self.buffer_budget.collections.leave(self)
             self.buffer_budget.active_values -= 1
--- a/switchline/requests/attempts.py
+++ b/switchline/requests/attempts.py
@@ -122,8 +122,6 @@
         if self.requests.in_flight.get(request.id) is not request or request.streaming_attempt is not None:
             return None
         request.streaming_attempt = number
-        if request.expiry_timer is not None:
-            request.expiry_timer.cancel()
         response = request.response = StreamedResponse(
             self.buffer_budget, length, request.slot.connection.pump
         )
--- a/switchline/requests/lifecycle.py
+++ b/switchline/requests/lifecycle.py
@@ -11,6 +11,7 @@
 from switchline.clock import now_ms
 from switchline.net.descriptors import DescriptorOwner
 from switchline.net.memory import ANSWER_RESERVE_BYTES, MemoryEntry, MemoryUse
+from switchline.net.streams import Forwarding
 from switchline.operators.metrics import OutcomeKind
 from switchline.policy import interface as api
 from switchline.policy.quota.fair_shares import PRESSURE_RATIO, FairShares
@@ -125,7 +126,15 @@
         self.send_event(api.RequestBodyReceived(request_id, request.expires_at_ms))
 
     def _on_expired(self, request: Request) -> None:
-        """End the attempts of an expired request, after which the policy gives the final answer."""
+        """End the attempts of an expired request, after which the policy gives the final answer.
+
+        A long answer that has begun may take longer, unless it waits for memory.
+        """
+        if request.response is not None:
+            if request.response.forwarding is Forwarding.WAITING:
+                log.warning(log_events.ANSWER_NOT_COLLECTED, request.id, request.response.length_bytes)
+                self.give_up_attempts(request, api.Outcome.CANCELLED)
+            return
         self.give_up_attempts(request, api.Outcome.TIMED_OUT)
         if self.in_flight.get(request.id) is request:
             # The request is unanswered only because of a fault, but the client still needs an answer.
@@ -194,6 +203,8 @@
         """Answer all requests in flight because the process ends, and reject those that arrive later."""
         self.is_shutting_down = True
         for request_id, request in list(self.in_flight.items()):
+            if request.response is not None and request.response.complete:
+                continue  # its client is reading the answer, and answers of other requests may follow
             if request.sent_at_ms or any(attempt.connection for attempt in request.in_flight.values()):
                 self.fail(request_id)
             else:  # no byte of the request has been sent to a backend
--- a/tests/service/test_memory_limit.py
+++ b/tests/service/test_memory_limit.py
@@ -183,6 +183,25 @@
     in_loop(scenario)
 
 
+# Guards against: slow readers of long answers that are collected take it over the limit.
+@pytest.mark.parametrize("limits", ALL_LIMITS, ids=str)
+def test_pipelined_long_answers_to_clients_that_do_not_read_stay_under_the_memory_limit(
+    limits: Limits, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        async with gateway(tmp_path, limits, reply_with(LONG_VALUE)) as (running_program, memory):
+            peers = [await connect(running_program.port) for _ in range(limits.clients // 4)]
+            for number, peer in enumerate(peers):
+                for position in range(2):
+                    peer.send(*request(b"%06d%02d" % (number, position)))
+            await asyncio.sleep(SILENCE_S)
+            served = await asyncio.gather(*(receive_all(peer, 2, LONG_VALUE) for peer in peers))
+            assert memory.peak_mb < limits.memory_mb
+            assert sum(served)
+
+    in_loop(scenario)
+
+
 # Guards against: long values each way of many clients at once take it over the limit.
 @pytest.mark.parametrize("limits", ALL_LIMITS, ids=str)
 def test_long_values_both_ways_stay_under_the_memory_limit(limits: Limits, tmp_path: Path) -> None:
