A request that has expired on its arrival is answered by the policy, not failed

Cause: such a request has waited, read, behind others of its connection. Its expiry lay in the past, so the timer of the request lifecycle went before the policy's timer of 0 ms, which rejects it. Evidence: the line in a gateway's log for a request that was the last of 32; with a scripted policy it fails each time. Change: the lifecycle's timer is due 1 ms after the arrival at the earliest. Test: test_request_that_has_expired_on_its_arrival_is_answered_by_the_policy; it failed before (-ERR failed for -BUSY 500).

--- a/switchline/requests/lifecycle.py
+++ b/switchline/requests/lifecycle.py
@@ -24,6 +24,8 @@
 FAILED_REPLY = b"-ERR failed\r\n"
 BUSY_REPLY = b"-BUSY\r\n"
 CAPACITY_RETRY_AFTER_MS = 200
+# The policy answers a request that has already expired with a timer of 0 ms, before the request is failed.
+DECISION_TIME_MS = 1.0
 # Limit of requests in flight for each backend connection in the budget; one of the two waits.
 REQUESTS_PER_CONNECTION = 2
 
@@ -72,7 +74,8 @@
             command, slot, request_class, event.expires_ms, MemoryEntry(self.ledger, MemoryUse.REQUESTS)
         )
         request.memory.set(held_bytes)
-        request.expiry_timer = self.timers.at(request.expires_at_ms, partial(self._on_expired, request))
+        due_ms = max(request.expires_at_ms, now_ms() + DECISION_TIME_MS)
+        request.expiry_timer = self.timers.at(due_ms, partial(self._on_expired, request))
         self.send_event(event)
 
     def check(self, command: Command) -> None:
--- a/tests/service/test_driver.py
+++ b/tests/service/test_driver.py
@@ -11,6 +11,7 @@
 
 from switchline.clients.commands import parse_command
 from switchline.clients.slot import Slot
+from switchline.clock import now_ms
 from switchline.policy import interface as api
 from switchline.requests.lifecycle import FAILED_REPLY
 from switchline.requests.request import RETRY_MARGIN_MS, Request
@@ -179,3 +180,20 @@
         scene.driver.requests.end_all()
 
     in_loop(scenario)
+
+
+# Guards against: a request that was never forwarded is failed, which leaves open whether it ran.
+def test_request_that_has_expired_on_its_arrival_is_answered_by_the_policy() -> None:
+    async def scenario() -> None:
+        scene = DriverScene()
+        scene.policy.actions_by_event = {
+            api.RequestArrived: [api.SetTimer(0.0, api.Timer(api.TimerPurpose.REQUEST, "r1"))],
+            api.TimerFired: [api.Reject("r1", 500.0, api.RejectionCause.OVERLOAD)],
+        }
+        slot = Slot(scene.connection)
+        command = parse_command(list(request(b"r1", wait=100)), None, now_ms() - 200)
+        scene.driver.requests.on_command(command, slot)
+        await until(lambda: slot.reply is not None)
+        assert slot.reply == b"-BUSY 500\r\n"
+
+    in_loop(scenario)
