--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -11,7 +11,8 @@
 from typing import TYPE_CHECKING, cast
 
 from switchline.clients.answers import AnswerWriter
-from switchline.clients.dispatch import begins_request, dispatch
+from switchline.clients.bodies import BodyReceiver
+from switchline.clients.dispatch import dispatch
 from switchline.clients.slot import Slot
 from switchline.clients.watchdog import ReceiveWatch
 from switchline.clock import now_ms
@@ -72,8 +73,7 @@
         self.validated = False  # it has sent a valid request and got a place for it
         # It got no place when it was opened, and is closed unless what arrives first is a request.
         self.surplus = False
-        self.streamed_body: StreamedRequestBody | None = None  # a long value that is still arriving
-        self.streamed_body_slot: Slot | None = None  # slot of the command with that value
+        self.bodies = BodyReceiver(self)
         self.last_used_s = time.monotonic()  # last time a command arrived or an answer was written
         self.receiving = ReceiveWatch(wait_started_at_s=self.last_used_s)
         self.received_at_ms = now_ms()  # time at which bytes last arrived
@@ -97,6 +97,11 @@
         """The slots of the commands that are read and whose answers are not written yet."""
         return self.answers.slots
 
+    @property
+    def streamed_body(self) -> StreamedRequestBody | None:
+        """The long value that is still arriving; None if none is."""
+        return self.bodies.body
+
     @property
     def closing(self) -> bool:
         """Whether the connection answers no further command."""
@@ -212,7 +217,8 @@
         try:
             while not self._is_blocked():
                 if self.streamed_body is not None:
-                    if not self._receive_streamed(self.streamed_body):
+                    if not self.bodies.receive(self.streamed_body):
+                        self._has_unparsed_bytes = False
                         return
                     continue
                 value = self.parser.next_value()
@@ -221,7 +227,7 @@
                     return
                 self.last_used_s = time.monotonic()
                 if isinstance(value, StreamedStringStarted):
-                    self._begin_streamed_request(value)
+                    self.bodies.begin(value)
                 else:
                     dispatch(self, value)
         except ProtocolError as error:
@@ -232,33 +238,6 @@
         if self.parser.has_partial_value():
             self.receiving.record_partial_command(time.monotonic())
 
-    def _begin_streamed_request(self, streamed_string: StreamedStringStarted) -> None:
-        """Dispatch a request whose value is too long to be collected, before the value has arrived."""
-        if streamed_string.remaining_items != 1 or not begins_request(streamed_string.items):
-            raise ProtocolError("long value that is not the last argument of a request")
-        self.receiving.record_stream_start(time.monotonic())
-        self.streamed_body = StreamedRequestBody(self.server.buffer_budget, streamed_string.length_bytes)
-        self.streamed_body.on_capacity = self.pump
-        body = self.streamed_body
-        slot = self.streamed_body_slot = dispatch(self, [*streamed_string.items, b""], body)
-        if slot is None or slot.request_id is None:
-            body.drop()  # the request has its answer already; the rest of its value is discarded
-
-    def _receive_streamed(self, body: StreamedRequestBody) -> bool:
-        """Pass one piece of a streamed value on; return False if no bytes of it have arrived."""
-        if piece := self.parser.read_streamed(READ_BUFFER_BYTES):
-            self.receiving.last_received_s = time.monotonic()
-            body.feed(piece)
-        elif self.parser.streamed_remaining_bytes > 0 or self.parser.next_value() is INCOMPLETE:
-            self._has_unparsed_bytes = False
-            return False
-        else:
-            self.streamed_body = None
-            if self.streamed_body_slot is not None and self.streamed_body_slot.request_id is not None:
-                self.server.handler.on_body_received(self.streamed_body_slot.request_id)
-            body.end()
-        return True
-
     def update_memory_use(self) -> None:
         """Report to the ledger what this connection holds. Unsent bytes become fewer without an event."""
         self._held_commands.set(self.parser.held_bytes if self.transport is not None else 0)
@@ -288,7 +267,7 @@
             reason: what broke the protocol, for the log.
         """
         self.begin_closing()
-        slot = self._abandon_body() if self.streamed_body is not None else Slot(self)
+        slot = self.bodies.abandon() if self.streamed_body is not None else Slot(self)
         if slot is not None:
             slot.answered = True
             slot.reply = b"-ERR protocol error\r\n"
@@ -296,21 +275,6 @@
                 self.slots.append(slot)
         log.warning("client broke the protocol: %s", " ".join(reason.split()))
 
-    def _abandon_body(self) -> Slot | None:
-        """Abandon a command whose value does not arrive; return its slot if it has no answer yet."""
-        body = self.streamed_body
-        slot = self.streamed_body_slot
-        self.streamed_body = None
-        self.streamed_body_slot = None
-        if body is not None:
-            body.drop()
-        if slot is None or slot.request_id is None:
-            return None
-        request = slot.request_id
-        slot.request_id = None
-        self.server.handler.on_client_gone(request)
-        return slot
-
     # ---- the end ----
 
     def begin_closing(self) -> None:
@@ -384,10 +348,7 @@
     def _abandon_requests(self) -> None:
         """Abandon all requests of this connection, as no client waits for the answers."""
         slots = self.answers.detach()
-        body = self.streamed_body
-        self.streamed_body = None
-        if body is not None:
-            body.drop()
+        self.bodies.discard()
         for slot in slots:
             slot.answered = True
             if slot.request_id is not None:
