Less work for each command in the ledger, the parser and the writer of answers

Change: the ledger keeps its kinds in a list and whether it is short as a value; parsed bytes are freed once a value, not once an item; short strings are sliced as before; entries that do not change are not set.

--- a/switchline/clients/answers.py
+++ b/switchline/clients/answers.py
@@ -30,6 +30,10 @@
 
     def held_bytes(self, unsent_bytes: int) -> int:
         """Return how many bytes the transport keeps, if it has `unsent_bytes` left to send."""
+        if not unsent_bytes:
+            self._lengths.clear()
+            self._total_bytes = 0
+            return 0
         while self._lengths and self._total_bytes - self._lengths[0] >= unsent_bytes:
             self._total_bytes -= self._lengths.popleft()
         return self._total_bytes
@@ -63,8 +67,8 @@
         Returns:
             The slots whose answers are not written.
         """
-        slots = self.slots
-        self.slots = deque()
+        slots = deque(self.slots)
+        self.slots.clear()
         self._transport = None
         return slots
 
@@ -95,9 +99,13 @@
 
     def update_memory_use(self) -> None:
         """Report the bytes of answers to the ledger. Those in the transport become fewer without an event."""
-        waiting_bytes = sum(len(slot.reply) for slot in self.slots if slot.reply is not None)
         unsent_bytes = self._transport.get_write_buffer_size() if self._transport is not None else 0
-        self._memory.set(waiting_bytes + self._pending.held_bytes(unsent_bytes))
+        held_bytes = self._pending.held_bytes(unsent_bytes)
+        for slot in self.slots:
+            if slot.reply is not None:
+                held_bytes += len(slot.reply)
+        if held_bytes != self._memory.held_bytes:
+            self._memory.set(held_bytes)
 
     @property
     def _current_response(self) -> StreamedResponse | None:
@@ -106,10 +114,13 @@
 
     def _write_piece(self) -> bool:
         """Write answers of about MAX_UNSENT_BYTES, in one call; return whether bytes were written."""
+        slots = self.slots
+        if not slots:
+            return False
         ready: list[bytes] = []
-        while self.slots and self._collect(self.slots[0], ready):
-            self.slots.popleft()
-            if sum(map(len, ready)) >= MAX_UNSENT_BYTES:
+        while slots and self._collect(slots[0], ready):
+            slots.popleft()
+            if slots and sum(map(len, ready)) >= MAX_UNSENT_BYTES:
                 break
         if not ready or self._transport is None:
             return False
--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import time
-from collections import deque
 from collections.abc import Callable
 from enum import IntEnum, auto
 from typing import TYPE_CHECKING, cast
@@ -82,6 +81,7 @@
         ledger = server.buffer_budget.ledger
         self._held_commands = MemoryEntry(ledger, MemoryUse.COMMANDS)
         self.answers = AnswerWriter(MemoryEntry(ledger, MemoryUse.ANSWERS), self.parser.has_partial_value)
+        self.slots = self.answers.slots  # of commands that are read and whose answers are not written yet
         self._has_unparsed_bytes = False  # bytes were received that may contain a complete command
         self._pumping = False  # `pump` is running; prevents recursion
         self.half_closed_at_s = 0.0
@@ -92,11 +92,6 @@
         """The guard of the server, which counts violated invariants."""
         return self.server.guard
 
-    @property
-    def slots(self) -> deque[Slot]:
-        """The slots of the commands that are read and whose answers are not written yet."""
-        return self.answers.slots
-
     @property
     def streamed_body(self) -> StreamedRequestBody | None:
         """The long value that is still arriving; None if none is."""
@@ -138,9 +133,11 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """See asyncio.BufferedProtocol."""
         budget = self.server.buffer_budget
-        if self.streamed_body is None:
+        if self.bodies.body is not None:
+            return self.server.read_buffer[: budget.window_bytes]
+        if budget.ledger.is_short:
             return self.server.read_buffer[: budget.ledger.buffer_bytes]
-        return self.server.read_buffer[: budget.window_bytes]
+        return self.server.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """See asyncio.BufferedProtocol."""
@@ -160,6 +157,8 @@
     def _limit_buffered_value(self) -> None:
         """Choose which values of the commands that arrive now are streamed instead of buffered."""
         threshold_bytes = self.server.buffer_budget.ledger.buffer_bytes
+        if self.parser.streaming_threshold_bytes == threshold_bytes:
+            return
         self.parser.streaming_threshold_bytes = threshold_bytes
         self.parser.max_bytes = threshold_bytes + MAX_COMMAND_HEAD_BYTES
 
@@ -199,8 +198,9 @@
     def _is_blocked(self) -> bool:
         if self.answers.paused or self.closing:
             return True
-        if self.streamed_body is not None:
-            return self.streamed_body.full
+        body = self.bodies.body
+        if body is not None:
+            return body.full
         return self._must_wait_for_answers()
 
     def _must_wait_for_answers(self) -> bool:
@@ -209,15 +209,18 @@
         While memory is short, only one command of each connection is processed at a time. The answer to that
         command always makes room for the next one, so that no connection waits for others.
         """
-        if len(self.slots) >= MAX_PIPELINED_COMMANDS or self.answers.is_streaming:
+        slots = self.slots
+        if not slots:
+            return False
+        if len(slots) >= MAX_PIPELINED_COMMANDS or self.answers.is_streaming:
             return True
-        return bool(self.slots) and self.server.buffer_budget.ledger.is_short
+        return self.server.buffer_budget.ledger.is_short
 
     def _process_commands(self) -> None:
         try:
             while not self._is_blocked():
-                if self.streamed_body is not None:
-                    if not self.bodies.receive(self.streamed_body):
+                if self.bodies.body is not None:
+                    if not self.bodies.receive(self.bodies.body):
                         self._has_unparsed_bytes = False
                         return
                     continue
@@ -240,7 +243,9 @@
 
     def update_memory_use(self) -> None:
         """Report to the ledger what this connection holds. Unsent bytes become fewer without an event."""
-        self._held_commands.set(self.parser.held_bytes if self.transport is not None else 0)
+        held_bytes = self.parser.held_bytes if self.transport is not None else 0
+        if held_bytes != self._held_commands.held_bytes:
+            self._held_commands.set(held_bytes)
         self.answers.update_memory_use()
 
     def _update_reading(self) -> None:
--- a/switchline/net/memory.py
+++ b/switchline/net/memory.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from enum import Enum
+from enum import IntEnum
 from typing import Protocol
 
 KIBIBYTE = 1024
@@ -32,13 +32,13 @@
 MIN_COLLECTION_BYTES = MAX_VALUE_BYTES
 
 
-class MemoryUse(Enum):
-    """What bytes are held for; the value is the last part of the metric's name."""
+class MemoryUse(IntEnum):
+    """What bytes are held for; the name in lower case is the last part of the metric's name."""
 
-    COMMANDS = "commands"  # commands of clients that are not parsed yet
-    REQUESTS = "requests"  # the values of requests in flight, and the memory reserved for their answers
-    ANSWERS = "answers"  # answers that the operating system has not taken yet
-    COLLECTED = "collected"  # reserved for long answers that are collected before they are forwarded
+    COMMANDS = 0  # commands of clients that are not parsed yet
+    REQUESTS = 1  # the values of requests in flight, and the memory reserved for their answers
+    ANSWERS = 2  # answers that the operating system has not taken yet
+    COLLECTED = 3  # reserved for long answers that are collected before they are forwarded
 
 
 class MemoryLedger:
@@ -53,17 +53,15 @@
         self.limit_bytes = max(MIN_LEDGER_BYTES, int(available_bytes * LEDGER_SHARE_RATIO))
         self.shortage_bytes = int(self.limit_bytes * SHORTAGE_RATIO)
         self.used_bytes = 0
-        self.used_by_kind = dict.fromkeys(MemoryUse, 0)
+        self.used_by_kind = [0] * len(MemoryUse)
+        # So much memory is in use that pipelined commands must wait and buffers must be small.
+        self.is_short = False
 
     def change(self, use: MemoryUse, difference_bytes: int) -> None:
         """Count bytes that are held from now on, or no longer if the difference is negative."""
         self.used_by_kind[use] += difference_bytes
         self.used_bytes += difference_bytes
-
-    @property
-    def is_short(self) -> bool:
-        """Whether so much memory is in use that pipelined commands must wait and buffers must be small."""
-        return self.used_bytes > self.shortage_bytes
+        self.is_short = self.used_bytes > self.shortage_bytes
 
     def admits_request(self, size_bytes: int) -> bool:
         """Whether there is memory for one more request and its answer; `size_bytes` includes both."""
@@ -76,7 +74,7 @@
 
     def gauges(self) -> dict[str, int]:
         """Return the bytes in use by kind, and their limit, by metric name."""
-        gauges = {f"memory.{use.value}": held_bytes for use, held_bytes in self.used_by_kind.items()}
+        gauges = {f"memory.{use.name.lower()}": self.used_by_kind[use] for use in MemoryUse}
         return gauges | {"memory.limit": self.limit_bytes}
 
 
@@ -148,6 +146,5 @@
 
     def set(self, held_bytes: int) -> None:
         """Report how many bytes the owner holds now."""
-        if held_bytes != self.held_bytes:
-            self.ledger.change(self.use, held_bytes - self.held_bytes)
-            self.held_bytes = held_bytes
+        self.ledger.change(self.use, held_bytes - self.held_bytes)
+        self.held_bytes = held_bytes
--- a/switchline/net/resp.py
+++ b/switchline/net/resp.py
@@ -109,21 +109,13 @@
         """Return up to `max_bytes` of the next bytes of the streamed string that have arrived."""
         max_length = max(0, min(self.streamed_remaining_bytes, max_bytes))
         end = min(self._offset + max_length, len(self.buffer))
-        data = self._copy(end)
-        self._consume(end)
-        self.streamed_remaining_bytes -= len(data)
-        return data
-
-    def _copy(self, end: int) -> bytes:
-        """Return the bytes from the first one that is not parsed to `end`."""
         with memoryview(self.buffer) as view:
-            return bytes(view[self._offset : end])
-
-    def _consume(self, end: int) -> None:
-        """Mark the bytes before `end` as parsed."""
+            data = bytes(view[self._offset : end])
         self._offset = end
+        self.streamed_remaining_bytes -= len(data)
         if end == len(self.buffer):
             self._free_parsed()
+        return data
 
     def next_value(self) -> Value | StreamedStringStarted | Literal[Incomplete.INCOMPLETE]:
         """Return the next value, or INCOMPLETE if its last byte has not arrived.
@@ -150,16 +142,21 @@
                 self.array_items = []
                 self._missing_items = item
             elif self.array_items is None:
-                self._announced_bytes = 0
-                return item
+                return self._complete(item)
             else:
                 self.array_items.append(item)
                 self._missing_items -= 1
             if self.array_items is not None and not self._missing_items:
                 array = self.array_items
                 self.array_items = None
-                self._announced_bytes = 0
-                return array
+                return self._complete(array)
+
+    def _complete(self, value: Value) -> Value:
+        """Return a value after its last byte is parsed."""
+        self._announced_bytes = 0
+        if self._offset == len(self.buffer):
+            self._free_parsed()
+        return value
 
     def _parse_end_of_streamed(self) -> _Parsed:
         """Parse the line break after a streamed string; the empty string returned stands for its value."""
@@ -168,7 +165,7 @@
             return INCOMPLETE
         if self.buffer[self._offset : end] != CRLF:
             raise ProtocolError("string is longer than its announced length")
-        self._consume(end)
+        self._offset = end
         self.streamed_remaining_bytes = NO_STRING
         return b""
 
@@ -184,7 +181,7 @@
             return INCOMPLETE
         kind = bytes(self.buffer[start : start + 1])
         text = bytes(self.buffer[start + 1 : end])
-        self._consume(end + len(CRLF))
+        self._offset = end + len(CRLF)
         if kind in SIMPLE_TYPES:
             return SimpleValue(kind, text)
         if text == NULL_LENGTH:
@@ -221,7 +218,7 @@
             return INCOMPLETE
         if self.buffer[string_end:end] != CRLF:
             raise ProtocolError("string is longer than its announced length")
-        value = self._copy(string_end)
-        self._consume(end)
+        value = bytes(self.buffer[self._offset : string_end])
+        self._offset = end
         self.bulk_length_bytes = NO_STRING
         return value
--- a/switchline/requests/lifecycle.py
+++ b/switchline/requests/lifecycle.py
@@ -96,7 +96,7 @@
         """Reject a request because the memory for requests and answers is used up."""
         log.warning(
             log_events.MEMORY_USED_UP,
-            *(self.ledger.used_by_kind[use] for use in MemoryUse),
+            *self.ledger.used_by_kind,
             self.ledger.limit_bytes,
         )
         self.metrics.rejected_for_memory += 1
