Tests of the memory limit: one test with a table of plays

Need: six tests of the same frame. Each play, its bound and its checks are as they were; all clients connect before the first of them sends. 18 cases, as before.

--- a/tests/service/test_memory_limit.py
+++ b/tests/service/test_memory_limit.py
@@ -9,13 +9,13 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
 import pytest
-from gateway_process import Program, program
+from gateway_process import program
 
 from testbed.network.sockets import LOCAL, Peer, Reply, encode
 from testbed.stand_ins.backends import Backend
@@ -47,7 +47,7 @@
 SMALL = Limits(memory_mb=32, sockets=256)
 SMALL_WITH_MANY_CLIENTS = Limits(memory_mb=32, sockets=1024)
 MEDIUM = Limits(memory_mb=64, sockets=512)
-ALL_LIMITS = [SMALL, SMALL_WITH_MANY_CLIENTS, MEDIUM]
+Play = Callable[[list[Peer]], Awaitable[None]]
 
 
 class PeakMemory:
@@ -70,10 +70,8 @@
 
 
 @asynccontextmanager
-async def gateway(
-    folder: Path, limits: Limits, reply: bytes = reply_with(VALUE)
-) -> AsyncIterator[tuple[Program, PeakMemory]]:
-    """Run a gateway in front of backends that answer each command with `reply`; watch its memory."""
+async def gateway(folder: Path, limits: Limits, reply: bytes) -> AsyncIterator[tuple[int, PeakMemory]]:
+    """Run a gateway in front of backends that answer with `reply`; yield its port, and watch its memory."""
 
     async def script(command: list[bytes]) -> Reply:
         return reply
@@ -86,7 +84,7 @@
         memory = PeakMemory(running_program.process.pid)
         watching = asyncio.create_task(memory.watch())
         try:
-            yield running_program, memory
+            yield running_program.port, memory
         finally:
             watching.cancel()
             with contextlib.suppress(asyncio.CancelledError):
@@ -131,103 +129,70 @@
 
 
 # Guards against: slow readers of many pipelined answers take the gateway over its limit (review case 2).
-@pytest.mark.parametrize("limits", ALL_LIMITS, ids=str)
-def test_pipelined_answers_to_clients_that_do_not_read_stay_under_the_memory_limit(
-    limits: Limits, tmp_path: Path
-) -> None:
-    async def scenario() -> None:
-        async with gateway(tmp_path, limits) as (running_program, memory):
-            peers = []
-            for number in range(limits.clients):
-                peers.append(await connect(running_program.port))
-                for position in range(COMMANDS):
-                    peers[-1].send(*request(b"%06d%02d" % (number, position)))
-            await asyncio.sleep(SILENCE_S)
-            served = await asyncio.gather(*(receive_all(peer, COMMANDS) for peer in peers))
-            assert memory.peak_mb < limits.memory_mb
-            assert sum(served) >= limits.clients  # one value each, in the mean
-
-    in_loop(scenario)
+async def pipelined_answers_that_are_not_read(peers: list[Peer]) -> None:
+    for number, peer in enumerate(peers):
+        for position in range(COMMANDS):
+            peer.send(*request(b"%06d%02d" % (number, position)))
+    await asyncio.sleep(SILENCE_S)
+    served = await asyncio.gather(*(receive_all(peer, COMMANDS) for peer in peers))
+    assert sum(served) >= len(peers)  # one value each, in the mean
 
 
 # Guards against: many clients that send most of a value and no more take it over the limit.
-@pytest.mark.parametrize("limits", ALL_LIMITS, ids=str)
-def test_commands_that_clients_leave_incomplete_stay_under_the_memory_limit(
-    limits: Limits, tmp_path: Path
-) -> None:
-    async def scenario() -> None:
-        async with gateway(tmp_path, limits) as (running_program, memory):
-            peers = [await connect(running_program.port) for _ in range(limits.clients)]
-            for number, peer in enumerate(peers):
-                command = encode(*request(b"%08d" % number, name=b"wipe", body=VALUE))
-                peer.writer.write(command[:-100])
-            await asyncio.sleep(SILENCE_S)
-            assert memory.peak_mb < limits.memory_mb
-
-    in_loop(scenario)
+async def commands_that_clients_leave_incomplete(peers: list[Peer]) -> None:
+    for number, peer in enumerate(peers):
+        peer.writer.write(encode(*request(b"%08d" % number, name=b"wipe", body=VALUE))[:-100])
+    await asyncio.sleep(SILENCE_S)
 
 
 # Guards against: a value each way of every client at once takes it over the limit, though nobody is slow.
-@pytest.mark.parametrize("limits", ALL_LIMITS, ids=str)
-def test_values_both_ways_of_all_clients_at_once_stay_under_the_memory_limit(
-    limits: Limits, tmp_path: Path
-) -> None:
-    async def scenario() -> None:
-        async with gateway(tmp_path, limits) as (running_program, memory):
-            peers = [await connect(running_program.port) for _ in range(limits.clients)]
-            await asyncio.gather(
-                *(ask_until_served(peer, b"%04d" % number) for number, peer in enumerate(peers))
-            )
-            assert memory.peak_mb < limits.memory_mb
-
-    in_loop(scenario)
+async def values_both_ways_of_all_clients(peers: list[Peer]) -> None:
+    await asyncio.gather(*(ask_until_served(peer, b"%04d" % number) for number, peer in enumerate(peers)))
 
 
 # Guards against: slow readers of long answers that are collected take it over the limit.
-@pytest.mark.parametrize("limits", ALL_LIMITS, ids=str)
-def test_pipelined_long_answers_to_clients_that_do_not_read_stay_under_the_memory_limit(
-    limits: Limits, tmp_path: Path
-) -> None:
-    async def scenario() -> None:
-        async with gateway(tmp_path, limits, reply_with(LONG_VALUE)) as (running_program, memory):
-            peers = [await connect(running_program.port) for _ in range(limits.clients // 4)]
-            for number, peer in enumerate(peers):
-                for position in range(2):
-                    peer.send(*request(b"%06d%02d" % (number, position)))
-            await asyncio.sleep(SILENCE_S)
-            served = await asyncio.gather(*(receive_all(peer, 2, LONG_VALUE) for peer in peers))
-            assert memory.peak_mb < limits.memory_mb
-            assert sum(served)
-
-    in_loop(scenario)
+async def pipelined_long_answers_that_are_not_read(peers: list[Peer]) -> None:
+    for number, peer in enumerate(peers):
+        for position in range(2):
+            peer.send(*request(b"%06d%02d" % (number, position)))
+    await asyncio.sleep(SILENCE_S)
+    assert sum(await asyncio.gather(*(receive_all(peer, 2, LONG_VALUE) for peer in peers)))
 
 
 # Guards against: long values each way of many clients at once take it over the limit.
-@pytest.mark.parametrize("limits", ALL_LIMITS, ids=str)
-def test_long_values_both_ways_stay_under_the_memory_limit(limits: Limits, tmp_path: Path) -> None:
-    async def scenario() -> None:
-        async with gateway(tmp_path, limits, reply_with(LONG_VALUE)) as (running_program, memory):
-            peers = [await connect(running_program.port) for _ in range(limits.clients // 4)]
-            for number, peer in enumerate(peers):
-                peer.send(*request(b"%06d" % number, name=b"wipe", body=LONG_VALUE))
-            served = await asyncio.gather(*(receive_all(peer, 1, LONG_VALUE) for peer in peers))
-            assert memory.peak_mb < limits.memory_mb
-            assert sum(served)
-
-    in_loop(scenario)
+async def long_values_both_ways(peers: list[Peer]) -> None:
+    for number, peer in enumerate(peers):
+        peer.send(*request(b"%06d" % number, name=b"wipe", body=LONG_VALUE))
+    assert sum(await asyncio.gather(*(receive_all(peer, 1, LONG_VALUE) for peer in peers)))
 
 
 # Guards against: backends that leave most of their answers incomplete take it over the limit.
-@pytest.mark.parametrize("limits", ALL_LIMITS, ids=str)
-def test_answers_that_backends_leave_incomplete_stay_under_the_memory_limit(
-    limits: Limits, tmp_path: Path
+async def answers_that_backends_leave_incomplete(peers: list[Peer]) -> None:
+    for number, peer in enumerate(peers):
+        peer.send(*request(b"%06d" % number, name=b"wipe"))
+    await asyncio.sleep(SILENCE_S)
+
+
+@pytest.mark.parametrize("limits", [SMALL, SMALL_WITH_MANY_CLIENTS, MEDIUM], ids=str)
+@pytest.mark.parametrize(
+    ("play", "reply", "share_of_clients"),
+    [
+        (pipelined_answers_that_are_not_read, reply_with(VALUE), 1.0),
+        (commands_that_clients_leave_incomplete, reply_with(VALUE), 1.0),
+        (values_both_ways_of_all_clients, reply_with(VALUE), 1.0),
+        (pipelined_long_answers_that_are_not_read, reply_with(LONG_VALUE), 0.25),
+        (long_values_both_ways, reply_with(LONG_VALUE), 0.25),
+        (answers_that_backends_leave_incomplete, reply_with(VALUE)[:-100], 1.0),
+    ],
+    ids=lambda value: value.__name__ if callable(value) else "",
+)
+def test_process_stays_under_its_memory_limit(
+    play: Play, reply: bytes, share_of_clients: float, limits: Limits, tmp_path: Path
 ) -> None:
     async def scenario() -> None:
-        async with gateway(tmp_path, limits, reply_with(VALUE)[:-100]) as (running_program, memory):
-            peers = [await connect(running_program.port) for _ in range(limits.clients)]
-            for number, peer in enumerate(peers):
-                peer.send(*request(b"%06d" % number, name=b"wipe"))
-            await asyncio.sleep(SILENCE_S)
+        async with gateway(tmp_path, limits, reply) as (port, memory):
+            client_count = int(limits.clients * share_of_clients)
+            await play([await connect(port) for _ in range(client_count)])
             assert memory.peak_mb < limits.memory_mb
 
     in_loop(scenario)
