A reset behind unread bytes of a reply is noticed at once

Cause: uvloop reports a reset once, as libuv stops watching a socket with an error. If unread bytes precede the reset, that one event reads them, and none follows; the connection then looks silent until a time-out (10 s within a long value). Where reading pauses and resumes often, as without collecting, the next start of watching finds the reset. Ruled out: memory, as the log has no line of it. Change: while a reply is incomplete, its connection is read until the system has no bytes left, 16 reads in a row at most. A reply that arrives whole costs no further call. Test: test_reset_behind_unread_bytes_of_a_reply_ends_the_attempt_at_once; it timed out before.

--- a/switchline/backends/connection.py
+++ b/switchline/backends/connection.py
@@ -40,6 +40,7 @@
 log = logging.getLogger(__name__)
 
 READ_BYTES = 64 * 1024
+MAX_READS_PER_EVENT = 16  # then other connections have their turn
 # The transfer of a long value is aborted if the backend makes no progress for this time while the gateway is
 # ready to send or receive.
 STALL_TIMEOUT_MS = 10_000.0
@@ -265,18 +266,39 @@
     # ---- receiving ----
 
     def _on_readable(self) -> None:
+        """Read until the reply is complete, reading pauses or no bytes are left.
+
+        uvloop reports a reset only once, also if unread bytes precede it. So no bytes of an incomplete reply
+        may be left unread, as there may be no further event.
+        """
+        for _ in range(MAX_READS_PER_EVENT):
+            if not self._read() or not self._expects_bytes():
+                return
+        self.pool.loop.call_soon(self._read_further)
+
+    def _read_further(self) -> None:
+        if self._expects_bytes():
+            self._on_readable()
+
+    def _expects_bytes(self) -> bool:
+        """Whether a part of a reply has been read, and its rest may be read now."""
+        return not self.closed and not self._reading_paused and self._parser.has_partial_value()
+
+    def _read(self) -> bool:
+        """Read and process the bytes that are available, up to a limit; return whether there were any."""
         streaming = self._answer is not None
         try:
             data = self.socket.recv(self.pool.buffer_budget.window_bytes if streaming else READ_BYTES)
         except (BlockingIOError, InterruptedError):
-            return
+            return False
         except OSError:
             data = b""
         if not data:
             self.end(self.outcome_if_broken())
-            return
+            return False
         self._parser.feed(data)
         self._process_received()
+        return True
 
     def _process_received(self) -> None:
         """Process the received bytes; a long answer is only forwarded as fast as its receiver reads it."""
--- a/tests/backends/test_backends.py
+++ b/tests/backends/test_backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 from backend_attempts import RecordedAttempt, running_pool
@@ -14,7 +15,7 @@
 from switchline.net.descriptors import Budget
 from switchline.net.idle import EVIDENCE_DECAY_MS, IdleTimes
 from switchline.policy.interface import BackendState, Outcome
-from testbed.network.sockets import LOCAL, Peer, Reply, Server, until
+from testbed.network.sockets import LINGER, LOCAL, Peer, Reply, Server, until
 from testbed.stand_ins.backends import Backend
 from testbed.stand_ins.single_gateway import World, in_loop, running
 
@@ -268,6 +269,23 @@
     in_loop(scenario)
 
 
+# Guards against: a reset is noticed only at a time-out, if bytes of a reply that are not read yet precede it.
+def test_reset_behind_unread_bytes_of_a_reply_ends_the_attempt_at_once() -> None:
+    async def scenario() -> None:
+        with socket.create_server((LOCAL, 0)) as listener:
+            async with running_pool() as pool, asyncio.timeout(1):
+                pool.update(0, listener.getsockname(), BackendState.READY)
+                attempt = RecordedAttempt(pool)
+                await until(lambda: attempt.written)
+                backend, _ = listener.accept()
+                backend.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+                backend.send(b"*3\r\n$1000\r\nvalue")
+                backend.close()  # both before the gateway reads
+                assert (await attempt.result())[0] is Outcome.RESET
+
+    in_loop(scenario)
+
+
 def test_idempotent_request_is_retried_on_another_backend_after_a_reset() -> None:
     async def scenario() -> None:
         reset_requests: list[bytes] = []
