A long answer that is still being collected at its deadline fails alone

Need: as none of it is written, it can still be failed in time; before, only one that waited for memory was, and one that had fallen silent at its backend held up the answers behind it for 10 s. Change: at its deadline the attempt is given up as timed out, and -ERR failed is written. Test: test_long_answer_that_is_still_collected_at_the_deadline_fails_alone; it waited past 1.5 s before.

--- a/switchline/requests/lifecycle.py
+++ b/switchline/requests/lifecycle.py
@@ -11,7 +11,7 @@
 from switchline.clock import now_ms
 from switchline.net.descriptors import DescriptorOwner
 from switchline.net.memory import ANSWER_RESERVE_BYTES, MemoryEntry, MemoryUse
-from switchline.net.streams import Forwarding
+from switchline.net.streams import Forwarding, StreamedResponse
 from switchline.operators.metrics import OutcomeKind
 from switchline.policy import interface as api
 from switchline.policy.quota.fair_shares import PRESSURE_RATIO, FairShares
@@ -131,12 +131,10 @@
     def _on_expired(self, request: Request) -> None:
         """End the attempts of an expired request, after which the policy gives the final answer.
 
-        A long answer that has begun may take longer, unless it waits for memory.
+        A long answer that has begun may take longer, unless it is being collected.
         """
         if request.response is not None:
-            if request.response.forwarding is Forwarding.WAITING:
-                log.warning(log_events.ANSWER_NOT_COLLECTED, request.id, request.response.length_bytes)
-                self.give_up_attempts(request, api.Outcome.CANCELLED)
+            self._expire_collection(request, request.response)
             return
         self.give_up_attempts(request, api.Outcome.TIMED_OUT)
         if self.in_flight.get(request.id) is request:
@@ -145,6 +143,16 @@
             self.fail(request.id)
             self.send_event(api.RequestAbandoned(request.id))
 
+    def _expire_collection(self, request: Request, response: StreamedResponse) -> None:
+        """Give up a long answer that is being collected or waits for that: none of it is written yet."""
+        if response.complete:
+            return
+        if response.forwarding is Forwarding.WAITING:
+            log.warning(log_events.ANSWER_NOT_COLLECTED, request.id, response.length_bytes)
+            self.give_up_attempts(request, api.Outcome.CANCELLED)
+        elif response.forwarding is Forwarding.COLLECTED:
+            self.give_up_attempts(request, api.Outcome.TIMED_OUT)
+
     def on_client_gone(self, request_id: str) -> None:
         """Abandon a request whose client has closed its connection."""
         request = self.release(request_id)
--- a/tests/clients/test_long_answers.py
+++ b/tests/clients/test_long_answers.py
@@ -119,6 +119,20 @@
     in_loop(scenario)
 
 
+# Guards against: a long answer that falls silent while it is collected delays the answers behind it (review
+# case 3 under load).
+def test_long_answer_that_is_still_collected_at_the_deadline_fails_alone() -> None:
+    async def scenario() -> None:
+        async with gateway(LONG_REPLY[:HALF], fall_silent) as (world, _):
+            peer = await world.client()
+            peer.send(*request(b"long", wait=300, name=b"wipe"))
+            peer.send(*request(b"order", name=b"wipe"))
+            async with asyncio.timeout(1.5):
+                assert [str(await peer.receive()), await peer.receive()] == ["ERR failed", b"value"]
+
+    in_loop(scenario)
+
+
 def test_command_that_arrives_within_a_long_answer_is_not_read_before_its_end() -> None:
     """The answer to it would be lost if the long answer was cut off, which closes the connection."""
 
