A client's connection is closed only once its system has received all answers

Cause: a close was judged by the bytes that this process holds. What the system holds was not looked at; a close over unread or later bytes resets it away.

Within a broken answer a connection is half-closed as any other, what its client sends is read and let go, and it is closed once all is received, or after 15 s without a byte taken. Operators' connections are half-closed too. The process stays until slow clients have read, up to the longest deadline.

--- a/switchline/clients/answers.py
+++ b/switchline/clients/answers.py
@@ -61,15 +61,14 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
 
-    def detach(self) -> deque[Slot]:
-        """Write nothing any more, as the connection has ended or its requests are abandoned.
+    def detach(self) -> None:
+        """Write nothing any more, as the connection has ended."""
+        self._transport = None
 
-        Returns:
-            The slots whose answers are not written.
-        """
+    def abandon(self) -> deque[Slot]:
+        """Remove the slots whose answers are not written, and return them."""
         slots = deque(self.slots)
         self.slots.clear()
-        self._transport = None
         return slots
 
     @property
--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
 from enum import IntEnum, auto
 from typing import TYPE_CHECKING, cast
 
@@ -24,8 +23,8 @@
     MemoryUse,
 )
 from switchline.net.resp import INCOMPLETE, ProtocolError, RespParser, StreamedStringStarted
-from switchline.net.socket_state import has_unread_bytes, peer_has_closed
 from switchline.net.streams import StreamedRequestBody
+from switchline.net.transport_state import TransportState
 from switchline.operators.metrics import EvictionReason
 
 if TYPE_CHECKING:
@@ -67,6 +66,7 @@
         self.server = server
         self.state = ConnectionState.SERVING
         self.transport: asyncio.Transport | None = None
+        self._socket: TransportState | None = None
         self.lost = False  # the connection has ended, closed by either side
         self.peer_address = ""  # places for connections are divided among peers by their addresses
         self.validated = False  # it has sent a valid request and got a place for it
@@ -84,7 +84,8 @@
         self.slots = self.answers.slots  # of commands that are read and whose answers are not written yet
         self._has_unparsed_bytes = False  # bytes were received that may contain a complete command
         self._pumping = False  # `pump` is running; prevents recursion
-        self.half_closed_at_s = 0.0
+        # While half-closed: the last time at which the peer's system had not received everything.
+        self.linger_started_at_s = 0.0
         self._discarded_bytes = 0  # number of bytes received after the last command that is answered
 
     @property
@@ -107,6 +108,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See asyncio.BaseProtocol."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport is not a subclass
+        self._socket = TransportState(self.transport)
         self.answers.attach(self.transport)
         # If the peer has already reset the connection, its address is not available.
         self.peer_address = (self.transport.get_extra_info("peername") or ("",))[0]
@@ -115,8 +117,10 @@
     def connection_lost(self, error: Exception | None) -> None:
         """See asyncio.BaseProtocol."""
         self.transport = None
+        self._socket = None
         self.lost = True
         self.server.on_connection_lost(self)
+        self.answers.detach()
         self._abandon_requests()
         self.update_memory_use()
 
@@ -303,10 +307,11 @@
             return
         self.transport.close()
 
-    def close_in_answer(self) -> None:
-        """Close this connection within a long answer that is cut off: only this shows it to the client.
+    def end_in_answer(self) -> None:
+        """End this connection within a long answer that is cut off: only its end shows this to the client.
 
-        No other command may have been read, as its answer is lost; this is counted as a violated invariant.
+        The answers before it still reach the client. No other command may have been read, as its answer is
+        lost; this is counted as a violated invariant.
         """
         if self.transport is None or self.transport.is_closing():
             return
@@ -314,24 +319,32 @@
             self.guard.record_violation(
                 Invariant.NO_UNANSWERED_CLOSE, f"answers due when one was cut off: {len(self.slots) - 1}"
             )
-        self.transport.close()
+        log.info(
+            "connection ends within a long answer: client=%s undelivered=%d unread=%s",
+            self.peer_address,
+            self.undelivered_bytes,
+            self.has_unread_bytes,
+        )
+        self._abandon_requests()
+        self.close_gracefully()
 
     def close_gracefully(self) -> None:
         """Half-close the connection after its last answer, and close it once the peer has closed too.
 
-        Closing a socket with unread bytes resets the connection, and the peer loses the answers that it has
-        not read yet. Without time or place to linger the connection is closed at once.
+        Closing a socket resets the connection if bytes are unread or arrive later, and what the system still
+        holds of the answers is lost. So the connection stays half-closed until the peer's system has received
+        everything, and a little longer if there is a place for that.
         """
         self.begin_closing()
         if self.transport is None or self.transport.is_closing():
             return
         if self.state is ConnectionState.HALF_CLOSED:
             return
-        if not self.server.may_linger(self):
+        if not self.server.may_half_close(self):
             self.close()
             return
         self.state = ConnectionState.HALF_CLOSED
-        self.half_closed_at_s = time.monotonic()
+        self.linger_started_at_s = time.monotonic()
         self.server.on_half_closed(self)
         self._update_reading()
         self.transport.write_eof()
@@ -345,14 +358,14 @@
         self._discarded_bytes += length
         if self._discarded_bytes <= MAX_DISCARDED_BYTES or self.transport is None:
             return
-        if self.state is ConnectionState.HALF_CLOSED:
+        if self.state is ConnectionState.HALF_CLOSED and not self.undelivered_bytes:
             self.close()
         else:
             self._update_reading()
 
     def _abandon_requests(self) -> None:
         """Abandon all requests of this connection, as no client waits for the answers."""
-        slots = self.answers.detach()
+        slots = self.answers.abandon()
         self.bodies.discard()
         for slot in slots:
             slot.answered = True
@@ -369,31 +382,21 @@
         """
         if self.lost or (self.transport is not None and self.transport.is_closing()):
             return True
-        if self.transport is None or not self._query_socket(peer_has_closed, if_unavailable=False):
+        if self._socket is None or not self._socket.peer_has_closed:
             return False
-        self.transport.abort()
         self._abandon_requests()
+        self.close_gracefully()  # the client may have closed its sending side alone, and still read
         return True
 
     @property
     def has_unread_bytes(self) -> bool:
         """Whether the socket has received bytes that this process has not read yet."""
-        return self._query_socket(has_unread_bytes, if_unavailable=True)
-
-    def _query_socket(self, query: Callable[[int], bool], if_unavailable: bool) -> bool:
-        """Query the system about the socket.
+        return self._socket is not None and self._socket.has_unread_bytes
 
-        Args:
-            query: takes the file descriptor.
-            if_unavailable: returned if the system can't provide the socket, for lack of a descriptor.
-        """
-        if self.transport is None:
-            return False
-        try:
-            sock = self.transport.get_extra_info("socket")
-        except OSError:
-            return if_unavailable
-        return sock is not None and sock.fileno() >= 0 and query(sock.fileno())
+    @property
+    def undelivered_bytes(self) -> int:
+        """Number of bytes written to this connection that the peer's system has not received yet."""
+        return self._socket.undelivered_bytes if self._socket is not None else 0
 
     @property
     def idle(self) -> bool:
@@ -410,5 +413,7 @@
 
     @property
     def may_be_evicted(self) -> bool:
-        """Whether the connection is idle, and the socket has no bytes that this process has not read yet."""
-        return self.idle and not self.has_unread_bytes
+        """Whether the connection may be closed at once, as that takes no command and no answer along."""
+        if self.state is ConnectionState.HALF_CLOSED:
+            return not self.undelivered_bytes
+        return self.idle and not self.has_unread_bytes and not self.undelivered_bytes
--- a/switchline/clients/places.py
+++ b/switchline/clients/places.py
@@ -101,6 +101,10 @@
         self.validated.setdefault(connection.peer_address, {})[connection] = None
         return True
 
+    def holds(self, connection: ClientConnection) -> bool:
+        """Whether the connection has a place."""
+        return connection in self.young or connection in self.validated.get(connection.peer_address, ())
+
     def record_use(self, connection: ClientConnection) -> None:
         """Record that an answer was written: the connection is now the most recently used of its peer."""
         peer_connections = self.validated.get(connection.peer_address)
--- a/switchline/clients/server.py
+++ b/switchline/clients/server.py
@@ -20,9 +20,10 @@
 
 BACKLOG = 200  # listen backlog: connections that may wait to be accepted
 SWEEP_INTERVAL_S = 0.25
-# Half-closed connections keep their descriptors. Except while all connections are being closed, at most this
-# many may do so at once.
-MAX_HALF_CLOSED = 16
+DELIVERY_POLL_INTERVAL_S = 0.02
+# Half-closed connections that linger keep their descriptors without a place. Except while all connections are
+# being closed, at most this many may do so at once.
+MAX_LINGERING = 16
 # After a hand-over connections close with their next answers. Idle ones are closed after this delay.
 HAND_OVER_IDLE_DELAY_S = 0.5
 
@@ -81,7 +82,7 @@
         self.handed_over = False  # the peer process of an upgrade accepts clients
         # While connections are being closed, idle ones are closed from this monotonic time on.
         self.idle_close_starts_at_s = 0.0
-        self._half_closed_connections: set[ClientConnection] = set()
+        self._lingering: set[ClientConnection] = set()  # half-closed connections that have no place any more
         self._acceptor: Acceptor | None = None
         # Runs while the load balancers before this gateway may not have noticed a drain yet.
         self._drain_timer: asyncio.TimerHandle | None = None
@@ -125,6 +126,11 @@
                 await asyncio.wait(list(self._acceptor.opening))
             await self.empty.wait()
 
+    async def wait_until_delivered(self) -> None:
+        """Wait until the peers' systems have received all answers that are written."""
+        while any(connection.undelivered_bytes for connection in self.connections):
+            await asyncio.sleep(DELIVERY_POLL_INTERVAL_S)
+
     def close(self) -> None:
         """Stop accepting connections and checking them."""
         for timer in (self._sweep_timer, self._drain_timer):
@@ -153,23 +159,35 @@
         self.handler.check(command)
         return self.places.promote(connection)
 
-    def may_linger(self, connection: ClientConnection) -> bool:
-        """Whether a connection may stay half-closed for LINGER_TIMEOUT_S: its peer may still be reading."""
-        if time.monotonic() - connection.last_used_s > LINGER_TIMEOUT_S:
-            return False
-        return self.closing_connections or len(self._half_closed_connections) < MAX_HALF_CLOSED
+    @property
+    def _has_room_to_linger(self) -> bool:
+        return self.closing_connections or len(self._lingering) < MAX_LINGERING
+
+    def may_half_close(self, connection: ClientConnection) -> bool:
+        """Whether a connection may stay half-closed, as its peer may still be reading.
+
+        If answers have not reached the peer's system yet, its own place is enough for that.
+        """
+        if connection.undelivered_bytes:
+            return self._has_room_to_linger or self.places.holds(connection)
+        return self._has_room_to_linger and time.monotonic() - connection.last_used_s <= LINGER_TIMEOUT_S
 
     def on_half_closed(self, connection: ClientConnection) -> None:
-        """Free the place of a half-closed connection, whose descriptor stays in use until it is closed."""
-        self.places.remove(connection)
-        self._half_closed_connections.add(connection)
+        """Let a half-closed connection linger without its place, if there is room."""
+        if self._has_room_to_linger:
+            self.places.remove(connection)
+            self._lingering.add(connection)
+
+    def lingers(self, connection: ClientConnection) -> bool:
+        """Whether a half-closed connection may stay open for LINGER_TIMEOUT_S after its delivery."""
+        return connection in self._lingering
 
     def on_connection_lost(self, connection: ClientConnection) -> None:
         """Free the place and the descriptor of a connection that has ended."""
         self.places.remove(connection)
         self.budget.release(DescriptorOwner.CLIENTS)
         self.connections.discard(connection)
-        self._half_closed_connections.discard(connection)
+        self._lingering.discard(connection)
         if not self.connections:
             self.empty.set()
 
--- a/switchline/clients/slot.py
+++ b/switchline/clients/slot.py
@@ -61,8 +61,8 @@
         """Abandon a long answer that can't be completed, in a way that the client can detect.
 
         Args:
-            reply: sent in its place if none of the long answer has been written. Otherwise the connection is
-                closed.
+            reply: sent in its place if none of the long answer has been written. Otherwise the connection
+                ends.
         """
         self.request_id = None
         if self.response is not None and not self.response.started:  # an earlier answer is still due
@@ -70,4 +70,4 @@
             self.reply = reply
             self.connection.pump()
         else:
-            self.connection.close_in_answer()
+            self.connection.end_in_answer()
--- a/switchline/clients/supervision.py
+++ b/switchline/clients/supervision.py
@@ -28,14 +28,13 @@
     if connection.transport is None:
         return
     connection.update_memory_use()
-    unsent_bytes = connection.transport.get_write_buffer_size()
-    if connection.answers.delivery.has_timed_out(now_s, unsent_bytes, is_streaming(connection)):
-        unread_s = now_s - connection.answers.delivery.unread_started_at_s
+    undelivered_bytes = connection.undelivered_bytes
+    if has_delivery_timed_out(connection, now_s, undelivered_bytes):
+        unread_s = connection.answers.delivery.unread_s(now_s)
         log.warning("client has not read its answers for %.0f s; its connection is aborted", unread_s)
         connection.server.places.evict(connection, EvictionReason.UNREAD_REPLIES)
     elif connection.state is ConnectionState.HALF_CLOSED:
-        if now_s - connection.half_closed_at_s > LINGER_TIMEOUT_S and not unsent_bytes:
-            connection.close()
+        check_half_closed(connection, now_s, undelivered_bytes)
     elif connection.closing:
         return  # its answers are due first
     elif connection.reading_paused:
@@ -44,15 +43,38 @@
         connection.server.metrics.evictions[EvictionReason.INCOMPLETE_COMMAND] += 1
         connection.fail_protocol("no whole command in time")
         connection.pump()
-    elif not connection.slots and not unsent_bytes:
+    elif not connection.slots and not connection.transport.get_write_buffer_size():
         close_if_unused(connection, now_s)
 
 
+def has_delivery_timed_out(connection: ClientConnection, now_s: float, undelivered_bytes: int) -> bool:
+    """Whether the peer takes its answers too slowly, or not at all."""
+    assert connection.transport is not None
+    # In an open connection some bytes may always be on their way; those that wait here are limited in time.
+    half_closed = connection.state is ConnectionState.HALF_CLOSED
+    waiting_bytes = undelivered_bytes if half_closed else connection.transport.get_write_buffer_size()
+    if is_streaming(connection):
+        waiting_bytes = 0
+    return connection.answers.delivery.has_timed_out(now_s, undelivered_bytes, waiting_bytes)
+
+
+def check_half_closed(connection: ClientConnection, now_s: float, undelivered_bytes: int) -> None:
+    """Close a half-closed connection once its answers have been delivered and the linger is over."""
+    if undelivered_bytes:
+        connection.linger_started_at_s = now_s
+    elif (
+        not connection.server.lingers(connection) or now_s - connection.linger_started_at_s > LINGER_TIMEOUT_S
+    ):
+        connection.close()
+
+
 def close_if_unused(connection: ClientConnection, now_s: float) -> None:
     """Close a connection that has been unused for too long; the timeout is much shorter during a drain."""
     draining = connection.closes_for_drain() and now_s > connection.server.idle_close_starts_at_s
     timeout_s = DRAIN_IDLE_TIMEOUT_S if draining else UNUSED_TIMEOUT_S
-    if now_s - connection.last_used_s > timeout_s and not connection.has_unread_bytes:
+    if now_s - connection.last_used_s <= timeout_s or connection.has_unread_bytes:
+        return
+    if draining or not connection.undelivered_bytes:
         reason = EvictionReason.GRACEFUL_SHUTDOWN if draining else EvictionReason.UNUSED
         connection.server.places.evict(connection, reason)
 
--- a/switchline/clients/watchdog.py
+++ b/switchline/clients/watchdog.py
@@ -16,7 +16,7 @@
 MAX_STREAMED_VALUE_DURATION_S = 120.0
 # Limits the time in which a client reads nothing of its answers: no client waits that long for an answer.
 UNREAD_TIMEOUT_S = 15.0
-# Limits the time in which a client must read all its answers, however steadily it reads.
+# Limits the time in which a client must read the answers that wait for it, however steadily it reads.
 MAX_UNREAD_DURATION_S = 60.0
 
 
@@ -71,34 +71,40 @@
 
     Attributes:
         written_bytes: number of bytes given to the transport since the connection opened.
-        unread_started_at_s: time from which bytes have been waiting for the peer to read them; 0 if none
-            are waiting.
     """
 
     written_bytes: int = 0
-    unread_started_at_s: float = 0.0
-    # Number of bytes that had left the transport at the last check.
-    _last_sent_bytes: int = 0
-    _last_progress_s: float = 0.0
+    _waiting_since_s: float | None = None  # None if no bytes wait
+    _delivered_bytes: int = 0  # number of bytes that the peer's system had received at the last check
+    _last_progress_s: float | None = None  # None if everything was delivered at the last check
 
-    def has_timed_out(self, now_s: float, unsent_bytes: int, streaming: bool) -> bool:
+    def has_timed_out(self, now_s: float, undelivered_bytes: int, waiting_bytes: int) -> bool:
         """Whether the peer has left its answers unread for too long: it has vanished, or reads too slowly.
 
         Args:
             now_s: the current time.
-            unsent_bytes: number of bytes that still wait in the transport.
-            streaming: whether a long answer is being written, which may take any time as long as its bytes
-                move.
+            undelivered_bytes: number of bytes that the peer's system has not received; some of them must move
+                within UNREAD_TIMEOUT_S.
+            waiting_bytes: number of those that must all be read within MAX_UNREAD_DURATION_S.
         """
-        if not unsent_bytes:
-            self.unread_started_at_s = 0.0
-            return False
-        sent_bytes = self.written_bytes - unsent_bytes
-        if not self.unread_started_at_s:
-            self.unread_started_at_s = now_s
-            self._last_progress_s = now_s
-        elif sent_bytes != self._last_sent_bytes:
+        delivered_bytes = self.written_bytes - undelivered_bytes
+        if not undelivered_bytes:
+            self._last_progress_s = None
+        elif self._last_progress_s is None or delivered_bytes != self._delivered_bytes:
             self._last_progress_s = now_s
-        self._last_sent_bytes = sent_bytes
-        too_slow = not streaming and now_s - self.unread_started_at_s > MAX_UNREAD_DURATION_S
-        return now_s - self._last_progress_s > UNREAD_TIMEOUT_S or too_slow
+        self._delivered_bytes = delivered_bytes
+        if not waiting_bytes:
+            self._waiting_since_s = None
+        elif self._waiting_since_s is None:
+            self._waiting_since_s = now_s
+        has_stalled = self._duration_s(now_s, self._last_progress_s) > UNREAD_TIMEOUT_S
+        return has_stalled or self._duration_s(now_s, self._waiting_since_s) > MAX_UNREAD_DURATION_S
+
+    def unread_s(self, now_s: float) -> float:
+        """Return for how long bytes have waited for the peer to read them."""
+        since_s = self._waiting_since_s if self._waiting_since_s is not None else self._last_progress_s
+        return self._duration_s(now_s, since_s)
+
+    @staticmethod
+    def _duration_s(now_s: float, since_s: float | None) -> float:
+        return now_s - since_s if since_s is not None else 0.0
--- a/switchline/net/socket_state.py
+++ b/switchline/net/socket_state.py
@@ -1,8 +1,13 @@
-"""Queries to the system about events on a socket that this process has not read yet."""
+"""Queries to the system about a socket: events not read yet, and bytes that the peer has not received yet."""
 
 from __future__ import annotations
 
+import fcntl
 import select
+import sys
+import termios
+
+NO_COUNT = bytes(4)  # the system writes an int in its place
 
 
 def _pending_events(fd: int, events: int) -> int:
@@ -34,3 +39,26 @@
         return bool(_pending_events(fd, select.POLLIN))
     except OSError:
         return True
+
+
+def has_failed(fd: int) -> bool:
+    """Whether the connection has been reset or has timed out, so that no byte reaches the peer any more.
+
+    False if the system can't tell.
+    """
+    try:
+        return bool(_pending_events(fd, 0) & select.POLLERR)
+    except OSError:
+        return False
+
+
+def unacknowledged_bytes(fd: int) -> int:
+    """Return how many written bytes the peer's system has not acknowledged; the end of the stream is one.
+
+    0 if the system can't tell.
+    """
+    try:
+        count = fcntl.ioctl(fd, termios.TIOCOUTQ, NO_COUNT)
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
--- a/switchline/operators/server.py
+++ b/switchline/operators/server.py
@@ -6,6 +6,8 @@
 import logging
 import math
 import socket
+from collections.abc import Callable
+from functools import partial
 from typing import cast
 
 import h11
@@ -14,6 +16,7 @@
 from switchline.net.accept import Acceptor
 from switchline.net.descriptors import Budget, DescriptorOwner
 from switchline.net.listen import ListenError, listen, listen_with_retries
+from switchline.net.transport_state import TransportState
 from switchline.operators.calls import DeferredReply, OperatorCalls, Reply
 
 log = logging.getLogger(__name__)
@@ -23,6 +26,8 @@
 # As many descriptors are reserved. Beyond this number, the oldest connection is aborted.
 MAX_CONNECTIONS = 16
 CALL_TIMEOUT_S = 2.0  # in which a call must arrive completely
+REPLY_TIMEOUT_S = 2.0  # in which its caller must read the reply and close
+DELIVERY_POLL_INTERVAL_S = 0.05
 BACKLOG = 64
 
 
@@ -35,20 +40,20 @@
         self.transport: asyncio.Transport | None = None
         self.request: h11.Request | None = None
         self.body = b""
-        self.timeout: asyncio.TimerHandle | None = None
+        self.timer: asyncio.TimerHandle | None = None  # of the call, then of the delivery of its reply
+        self.half_closed_at_s = 0.0  # time of the event loop; 0 until the reply is written
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timeout of the call; called by the event loop."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transports are not a subclass
-        loop = asyncio.get_running_loop()
-        self.timeout = loop.call_later(CALL_TIMEOUT_S, self.reply, Reply(408, "too slow\n"))
+        self._set_timer(CALL_TIMEOUT_S, partial(self.reply, Reply(408, "too slow\n")))
         self.server.on_open(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Release the connection's descriptor; called by the event loop."""
         self.transport = None
-        if self.timeout is not None:
-            self.timeout.cancel()
+        if self.timer is not None:
+            self.timer.cancel()
         self.server.on_closed(self)
 
     def data_received(self, data: bytes) -> None:
@@ -105,7 +110,33 @@
                 self._write(h11.Data(data=body))
         except h11.LocalProtocolError as error:
             log.info("reply to an operator's call not sent: error=%s", error)
-        self.close()
+        self._half_close()
+
+    def _half_close(self) -> None:
+        """End the reply, and close the connection once its caller has closed it or has received everything.
+
+        A close over bytes that are unread, or arrive later, would reset the connection and lose the reply.
+        """
+        if self.transport is None or self.transport.is_closing() or self.half_closed_at_s:
+            return
+        loop = asyncio.get_running_loop()
+        self.half_closed_at_s = loop.time()
+        self.transport.write_eof()
+        self._set_timer(DELIVERY_POLL_INTERVAL_S, self._close_if_delivered)
+
+    def _close_if_delivered(self) -> None:
+        if self.transport is None:
+            return
+        lingered_s = asyncio.get_running_loop().time() - self.half_closed_at_s
+        if TransportState(self.transport).undelivered_bytes and lingered_s < REPLY_TIMEOUT_S:
+            self._set_timer(DELIVERY_POLL_INTERVAL_S, self._close_if_delivered)
+        else:
+            self.close()
+
+    def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = asyncio.get_running_loop().call_later(delay_s, callback)
 
     def _write(self, event: h11.Event) -> None:
         if self.transport is not None and not self.transport.is_closing():
--- a/switchline/service/drain.py
+++ b/switchline/service/drain.py
@@ -5,6 +5,7 @@
 another process has taken over. It goes on accepting connections for `DRAIN_NOTICE_S`, until the front has
 noticed, and then answers the requests in flight. Those still in flight after `max_drain_s`, which depends on
 the longest deadline in the settings, are failed: SIGKILL would end the process without an answer to them.
+Slow clients go on reading their answers until then and later, as long as any client may still wait.
 """
 
 from __future__ import annotations
@@ -78,7 +79,8 @@
         log.info(log_events.SHUTDOWN_STARTED, len(parts.driver.requests.in_flight))
         self.trail.record("ending", "", "", "SIGTERM")
         parts.guard.call("leaving the fleet", self.fleet.leave, not clients.handed_over)
-        abort_at = parts.loop.time() + self.max_drain_s()
+        begun_s = parts.loop.time()
+        abort_at = begun_s + self.max_drain_s()
         clients.shut_down(DRAIN_NOTICE_S)
         if not clients.handed_over:
             await asyncio.sleep(DRAIN_NOTICE_S)
@@ -88,6 +90,7 @@
                 await clients.wait_until_empty()
         except TimeoutError:
             await self._abort()
+            await self._finish_delivery(begun_s + self.max_deadline_s())
 
     async def _abort(self) -> None:
         """Fail the requests still in flight; give their answers `LAST_ANSWERS_TIMEOUT_S` to be sent."""
@@ -98,8 +101,18 @@
             async with asyncio.timeout(LAST_ANSWERS_TIMEOUT_S):
                 await self.parts.clients.wait_until_empty()
 
+    async def _finish_delivery(self, until_s: float) -> None:
+        """Let slow clients read their answers until `until_s`: the end of the process would reset them."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(until_s):
+                await self.parts.clients.wait_until_delivered()
+
+    def max_deadline_s(self) -> float:
+        """Return the longest deadline of a class: after it, no client waits for a request made before."""
+        classes = self.parts.config.settings.classes
+        return max((request_class.deadline_ms for request_class in classes), default=0.0) / 1000
+
     def max_drain_s(self) -> float:
         """Return the seconds from SIGTERM until the requests still in flight are failed, ahead of SIGKILL."""
-        classes = self.parts.config.settings.classes
-        max_deadline_ms = max((request_class.deadline_ms for request_class in classes), default=math.inf)
-        return min(max_deadline_ms / 1000, MAX_DEADLINE_S) + KILL_MARGIN_S - ABORT_BEFORE_KILL_S
+        max_deadline_s = self.max_deadline_s() or math.inf
+        return min(max_deadline_s, MAX_DEADLINE_S) + KILL_MARGIN_S - ABORT_BEFORE_KILL_S
