Without a reading a gateway uses half of its even share of a ceiling

Cause: a part of a ceiling is divided by demand, but a gateway that did not know the demand (no reading, a failed call, an ended lease, just started) took its whole even share, and so of that part too. And the first reading in a period misses what others added to the number before, so that shares grew on it.

The part without a reading is half of the even share, whatever the reason; a share grows only once all recent demand is known, by the final total of the period before.

--- a/switchline/policy/quota/customer.py
+++ b/switchline/policy/quota/customer.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from switchline.policy import interface as api
+from switchline.policy.quota.ceiling_share import CeilingDemand, safe_share
 
 # The time to live of a lease, during which other gateways may rely on the demand that this gateway reported.
 LEASE_MS = 15_000.0
@@ -32,6 +33,11 @@
     previous_total: float = -1.0
 
 
+def ceiling_fill_ms(plan: api.Plan) -> float:
+    """Return the time in milliseconds in which the bucket of a plan's ceiling fills."""
+    return plan.ceiling_burst_units / max(plan.ceiling_rate_per_s, 1e-9) * 1000
+
+
 class Customer:
     """One customer at this gateway. Units are those of its quota, times are milliseconds.
 
@@ -43,6 +49,8 @@
         peer_in_flight: Its attempts in flight from the peer process of this gateway.
         quota_share: The lease: this gateway's share of the rate and the burst of the quota.
         ceiling_share: This gateway's share of the rate and the burst of the ceiling.
+        ceiling_demand: The demand by which a part of the ceiling is divided.
+        has_shared_readings: Whether its gateways read their demand from a counter.
         tokens: Units in the bucket of the lease.
         ceiling_tokens: Units in the bucket of the ceiling.
         fleet_remaining_units: The units that all gateways have left: those of the last reading, refilled
@@ -59,7 +67,7 @@
         period: The counter's period of the last reading.
         period_total: The counter's number at the last reading, in units.
         read_at_ms: The time of the last reading.
-        pending_period: A period whose first reading is not complete.
+        pending_period: A period whose first reading is not complete; None if there is none.
         idle_ttl_ms: How long the customer is kept while it sends no requests.
         is_sparse: Whether its even share of a burst is too small to be spent locally; then each request calls
             the counter.
@@ -68,6 +76,7 @@
 
     __slots__ = (
         "admit_probability",
+        "ceiling_demand",
         "ceiling_share",
         "ceiling_tokens",
         "even_share",
@@ -76,6 +85,7 @@
         "fleet_remaining_units",
         "idle_ttl_ms",
         "in_flight",
+        "has_shared_readings",
         "has_valid_reading",
         "is_very_sparse",
         "is_sparse",
@@ -102,20 +112,23 @@
         even_share: float,
         now: float,
         gateway_created_ms: float,
-        max_request_units: float,
+        settings: api.Settings,
     ) -> None:
+        max_request_units = settings.max_request_units
         self.key = key
         self.plan = plan
         self.even_share = even_share
         self.in_flight = 0
         self.peer_in_flight = 0
         self.quota_share = even_share
-        self.ceiling_share = even_share
+        self.has_shared_readings = settings.uses_counter and plan.rate_per_s > 0
+        self.ceiling_share = self.least_ceiling_share
+        self.ceiling_demand = CeilingDemand()
         even_burst = plan.burst_units * even_share
         self.tokens = max(max_request_units, even_burst)
         # A restarted gateway does not know what it spent before its start. The bucket was empty then, so that
         # nothing is spent twice.
-        self.ceiling_tokens = (now - gateway_created_ms) / 1000 * plan.ceiling_rate_per_s * even_share
+        self.ceiling_tokens = (now - gateway_created_ms) / 1000 * plan.ceiling_rate_per_s * self.ceiling_share
         self.fleet_remaining_units = plan.burst_units
         self.filled_at_ms = now
         self.admit_probability = 1.0
@@ -129,9 +142,8 @@
         self.period = NO_PERIOD
         self.period_total = 0.0
         self.read_at_ms = now
-        self.pending_period = PendingPeriod()
-        ceiling_fill_ms = plan.ceiling_burst_units / max(plan.ceiling_rate_per_s, 1e-9) * 1000
-        self.idle_ttl_ms = max(LEASE_MS, ceiling_fill_ms)
+        self.pending_period: PendingPeriod | None = None
+        self.idle_ttl_ms = max(LEASE_MS, ceiling_fill_ms(plan))
         self.is_sparse = even_burst < SPARSE_REQUESTS * max_request_units
         self.is_very_sparse = 0 < even_burst < VERY_SPARSE_REQUESTS * max_request_units
 
@@ -146,10 +158,16 @@
         """Whether it has sent no requests for so long that it may be removed."""
         return not self.in_flight and now - self.filled_at_ms > self.idle_ttl_ms
 
+    @property
+    def least_ceiling_share(self) -> float:
+        """The share of the ceiling that is safe if the demand at the other gateways is not known."""
+        return safe_share(self.even_share, self.has_shared_readings)
+
     def use_even_share(self) -> None:
-        """Fall back to the even share, which is safe if the demand at the other gateways is not known."""
+        """Fall back to the even shares, which are safe if the demand at the other gateways is not known."""
         self.quota_share = self.even_share
-        self.ceiling_share = self.even_share
+        self.ceiling_share = min(self.ceiling_share, self.least_ceiling_share)
+        self.ceiling_demand = CeilingDemand()
         self.has_valid_reading = False
 
     def record(self, reserved_units: float = 0.0) -> api.CustomerRecord:
@@ -182,6 +200,9 @@
         """Restore a state record; its attempts in flight are those of the peer process."""
         self.even_share = record.even_share
         self.ceiling_share = record.ceiling_share
+        # The record does not say when the units of its period were requested: all of them may be recent.
+        recent_units = record.fleet_demand_units + record.period_total
+        self.ceiling_demand = CeilingDemand(record.own_demand_units, recent_units)
         self.tokens = record.tokens
         self.filled_at_ms = record.filled_at_ms
         self.ceiling_tokens = record.ceiling_tokens
--- a/switchline/policy/quota/customers.py
+++ b/switchline/policy/quota/customers.py
@@ -24,7 +24,7 @@
         self.plans = {plan.name: plan for plan in settings.plans}
         self.by_key: dict[str, Customer] = {}
         self.gateway_created_ms = -1.0
-        self._max_request_units = settings.max_request_units
+        self._settings = settings
         self._durable_state = durable_state
         self._idle_checked_ms = 0.0
 
@@ -38,9 +38,7 @@
         customer = self.by_key.get(key)
         if customer is None:
             known_plan = self.plans.get(plan) or api.Plan(plan)  # an unknown plan has no quota
-            customer = Customer(
-                key, known_plan, even_share, now, self.gateway_created_ms, self._max_request_units
-            )
+            customer = Customer(key, known_plan, even_share, now, self.gateway_created_ms, self._settings)
             self.by_key[key] = customer
             self._durable_state.on_new_customer(now, customer)
         return customer
--- a/switchline/policy/quota/lease_sizing.py
+++ b/switchline/policy/quota/lease_sizing.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from switchline.policy.quota.ceiling_share import DEMAND_MEMORY_MS, UNKNOWN_TOTAL, granted_share
 from switchline.policy.quota.customer import Customer, PendingPeriod
 
 # The length of a counter period. The counter has one number for each customer and period; the period is long
@@ -14,11 +15,6 @@
 # The shortest time between two refreshes: short enough that shares follow a shift of demand, and long enough
 # that there are fewer calls than requests.
 REFRESH_MS = 500.0
-DEMAND_MEMORY_MS = 3_000.0  # the time constant with which demand decays
-# The ratio of a ceiling that is divided evenly, and the ratio that is divided by demand. The rest is a margin
-# for late readings.
-EVEN_CEILING_RATIO = 0.5
-DEMAND_CEILING_RATIO = 0.45
 SPARSE_REFRESH_MS = 100.0  # the shortest time between two refreshes of a sparse lease
 # A reading is used until demand at this multiple of the quota's rate could have spent what is left.
 SURGE_MULTIPLE = 5.0
@@ -43,7 +39,7 @@
     elapsed_s = max(0.0, now - customer.filled_at_ms) / 1000
     customer.filled_at_ms = now
     # The share of a ceiling for old demand may be in use at other gateways by now: it decays as demand does.
-    least_share = customer.even_share * (EVEN_CEILING_RATIO if customer.has_valid_reading else 1.0)
+    least_share = customer.least_ceiling_share
     decay_factor = math.exp(-elapsed_s * 1000 / DEMAND_MEMORY_MS)
     customer.ceiling_share = least_share + (customer.ceiling_share - least_share) * decay_factor
     bucket = max(max_request_units, plan.burst_units * customer.quota_share)
@@ -130,10 +126,7 @@
         customer.fleet_demand_units = (
             customer.fleet_demand_units * reading.decay_factor + own_units + other_units
         )
-        demand_share = customer.own_demand_units / customer.fleet_demand_units
-    else:
-        demand_share = own_units / (own_units + other_units)
-    customer.ceiling_share = EVEN_CEILING_RATIO * customer.even_share + DEMAND_CEILING_RATIO * demand_share
+    size_ceiling_share(customer, reading)
     load = min(1.0, customer.fleet_demand_units * 1000 / DEMAND_MEMORY_MS / customer.plan.rate_per_s)
     if customer.fleet_demand_units:
         own_ratio = min(1.0, customer.own_demand_units / customer.fleet_demand_units)
@@ -143,6 +136,25 @@
     customer.next_refresh_ms = now + refresh_interval_ms(customer)
 
 
+def size_ceiling_share(customer: Customer, reading: Reading) -> None:
+    """Set the share of the ceiling by a reading; it grows only once all recent demand is known."""
+    demand = customer.ceiling_demand
+    is_continued = reading.is_same_period or reading.is_next_period
+    demand.add(reading.own_units, reading.other_units, reading.decay_factor if is_continued else 0.0)
+    if not reading.is_same_period:
+        demand.begin_period(reading.previous_total if reading.is_next_period else UNKNOWN_TOTAL)
+    customer.ceiling_share = granted_share(customer.ceiling_share, customer.least_ceiling_share, demand)
+
+
+def complete_ceiling_demand(now: float, customer: Customer, total: float) -> None:
+    """Set the share of the ceiling by the final total (units) of the period before the customer's period."""
+    demand = customer.ceiling_demand
+    if demand.is_complete:
+        return
+    demand.complete(total, now - customer.period * PERIOD_MS, TOTAL_TOLERANCE_UNITS)
+    customer.ceiling_share = granted_share(customer.ceiling_share, customer.least_ceiling_share, demand)
+
+
 def apply_reading(now: float, customer: Customer, reading: Reading, max_request_units: float) -> bool:
     """Update by a reading what all gateways have left of the quota.
 
@@ -151,6 +163,8 @@
         the period before it (`PendingPeriod`), as the burst may not have refilled yet.
     """
     plan = customer.plan
+    if not reading.is_same_period:
+        customer.pending_period = None
     rate_per_s, spent_units = plan.rate_per_s, reading.spent_units
     own_units, other_units = reading.own_units, reading.other_units
     window_units = rate_per_s * reading.window_s - spent_units
@@ -199,6 +213,8 @@
         max_request_units: The units of the largest request.
     """
     plan, pending = customer.plan, customer.pending_period
+    if pending is None:
+        return
     other_units, own_units, gained_units = pending.other_units, pending.own_units, pending.gained_units
     if pending.previous_total >= 0:  # this gateway read that period: what was left then is known
         other_units += max(0.0, total - pending.previous_total)
--- a/switchline/policy/quota/leases.py
+++ b/switchline/policy/quota/leases.py
@@ -17,6 +17,7 @@
     PERIOD_MS,
     apply_final_total,
     apply_reading,
+    complete_ceiling_demand,
     fill_buckets,
     refresh_interval_ms,
     size_lease,
@@ -177,6 +178,8 @@
         self._durable_state.on_lease_renewed(customer)
         customer.lease_expires_ms = now + LEASE_MS
         if not call.amount:  # it has read the final total of the last period
+            if call.period == customer.period - 1:
+                complete_ceiling_demand(now, customer, total)
             apply_final_total(now, customer, total, max_request_units)
             return False
         reading = take_reading(now, customer, call.period, call.amount, total)
@@ -187,10 +190,12 @@
             customer.next_refresh_ms = now + refresh_interval_ms(customer)
             return False
         size_lease(now, customer, reading)
-        if apply_reading(now, customer, reading, max_request_units):
-            return False
-        self._call(customer, call.period - 1, 0.0, call.request, actions)
-        return True
+        is_sufficient = apply_reading(now, customer, reading, max_request_units)
+        needs_final_total = customer.plan.ceiling_rate_per_s > 0 and not customer.ceiling_demand.is_complete
+        if needs_final_total or not is_sufficient:
+            waiting = "" if is_sufficient else call.request
+            self._call(customer, call.period - 1, 0.0, waiting, actions)
+        return not is_sufficient
 
     def _has_wrong_period(self, customer: Customer, other_units: float) -> bool:
         """Whether this gateway uses other periods than the rest, because its clock is wrong.
--- /dev/null
+++ b/tests/recordings/record_again.py
@@ -0,0 +1,46 @@
+"""Writes the recorded decisions anew: the same events, with the actions of the present policy.
+
+For a deliberate change of decisions; the commit that changes them says which actions differ, and why.
+Usage, from the repository's root: PYTHONPATH=.:tests:tests/recordings python -m record_again SCENE...
+"""
+
+from __future__ import annotations
+
+import lzma
+import sys
+
+import neutral_form
+from neutral_form import Neutral
+from test_recorded_decisions import RECORDED, handle_line, lines
+
+from switchline.policy.gateway import Gateway
+
+
+def recorded_again(scene: str) -> list[Neutral]:
+    """Return the lines of a scene with the present actions and statuses."""
+    gateways: dict[str, Gateway] = {}
+    result: list[Neutral] = []
+    for line in lines(scene):
+        process = line["process"]
+        if "settings" in line:
+            gateways[process] = Gateway(neutral_form.decode_settings(line["settings"]), line["seed"])
+        elif "ended" in line:
+            del gateways[process]
+        elif "status" in line:
+            line = {**line, "status": neutral_form.encode_status(gateways[process], line["at_ms"])}
+        else:
+            event = {name: value for name, value in line.items() if name not in ("actions", "refused")}
+            line = event | handle_line(gateways[process], line)
+        result.append(line)
+    return result
+
+
+def main() -> None:
+    """Write the scenes named on the command line."""
+    for scene in sys.argv[1:]:
+        text = "".join(neutral_form.line(line) + "\n" for line in recorded_again(scene))
+        (RECORDED / f"{scene}.jsonl.xz").write_bytes(lzma.compress(text.encode(), preset=9))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/service/test_fleet_budgets.py
+++ b/tests/service/test_fleet_budgets.py
@@ -17,6 +17,7 @@
 
 ANSWER_MS = 200.0
 COUNTER_MS = 20.0
+COUNTER_TIMEOUT_MS = 50.0
 CAPPED = api.Plan(
     "capped", rate_per_s=8, burst_units=15, overage_revenue=0.1, ceiling_rate_per_s=17, ceiling_burst_units=27
 )
@@ -43,6 +44,7 @@
         sent: The first attempt of each request.
         attempts: All attempts.
         totals: What the counter has added up, by name.
+        silent_gateways: The gateways whose calls the counter does not answer, nor adds.
     """
 
     size: int
@@ -52,6 +54,7 @@
     sent: list[SentAttempt] = field(default_factory=list)
     attempts: list[SentAttempt] = field(default_factory=list)
     totals: dict[str, float] = field(default_factory=dict)
+    silent_gateways: set[int] = field(default_factory=set)
     serial: int = 0
 
     def __post_init__(self) -> None:
@@ -99,6 +102,9 @@
         if isinstance(action, api.SetTimer):
             event = api.TimerFired(action.timer)
             self.call_later(action.delay_ms, lambda: self.give_if_running(index, gateway, event))
+        elif isinstance(action, api.AddToCounter) and index in self.silent_gateways:
+            timed_out = api.CounterReplied(action.name, api.Outcome.TIMED_OUT, 0.0)
+            self.call_later(COUNTER_TIMEOUT_MS, lambda: self.give_if_running(index, gateway, timed_out))
         elif isinstance(action, api.AddToCounter):
             total = self.totals[action.name] = self.totals.get(action.name, 0.0) + action.amount
             replied = api.CounterReplied(action.name, api.Outcome.OK, total)
@@ -177,6 +183,71 @@
     assert not has_constant_demand or sum(attempt.units for attempt in fleet.sent) >= min_units
 
 
+CEILING_SLACK_UNITS = 4.0  # the largest request, which is more than a tenth of the ceiling
+SILENCES = {"no gateway": (), "the last gateway": (2,), "all gateways": (0, 1, 2)}
+
+
+@dataclass
+class CeilingPlay:
+    """A customer is calm at one of three gateways, and then asks for more than its ceiling at all of them.
+
+    Attributes:
+        spike_at_ms: When the spike begins.
+        silent: The gateways whose calls the counter does not answer from shortly before the spike on.
+        silent_from_ms: How long before the spike that begins.
+        restarted: The gateway that starts anew as the spike begins.
+    """
+
+    spike_at_ms: float
+    silent: tuple[int, ...] = ()
+    silent_from_ms: float = 500.0
+    restarted: int | None = None
+
+    def __post_init__(self) -> None:
+        self.fleet = Fleet(3, tuple(entry(number) for number in range(9)), now=self.spike_at_ms - 18_000.0)
+
+    def run(self) -> None:
+        """Play it; requests have one unit each."""
+        self._ask([0], CAPPED.rate_per_s * 0.45, self.spike_at_ms - self.silent_from_ms)
+        self.fleet.silent_gateways = set(self.silent)
+        self._ask([0], CAPPED.rate_per_s * 0.45, self.spike_at_ms)
+        if self.restarted is not None:
+            self.fleet.restart(self.restarted)
+        self._ask([0, 1, 2], CAPPED.rate_per_s * 6, self.spike_at_ms + 4_800.0)
+
+    def _ask(self, gateways: list[int], rate_per_s: float, until_ms: float) -> None:
+        turn = 0
+        while self.fleet.now < until_ms:
+            self.fleet.send_request(gateways[turn % len(gateways)], CAPPED, "c", 1.0, 3)
+            self.fleet.run_until(self.fleet.now + 1_000 / rate_per_s)
+            turn += 1
+
+    @property
+    def lowest_units(self) -> float:
+        """The lowest content of the ceiling's bucket over all gateways."""
+        return lowest_bucket_level(self.fleet.sent, CAPPED.ceiling_rate_per_s, CAPPED.ceiling_burst_units)
+
+
+# Guards against: a gateway without a reading uses its whole even share beside others' shares by demand
+# (review case 10), also right after a period of the counter has begun.
+@pytest.mark.parametrize("silent", SILENCES)
+@pytest.mark.parametrize("restarted", [None, 1])
+def test_a_ceiling_holds_in_a_spike_at_any_time_of_a_period(silent: str, restarted: int | None) -> None:
+    for spike_at_ms in range(60_000, 75_000, 250):
+        play = CeilingPlay(float(spike_at_ms), SILENCES[silent], restarted=restarted)
+        play.run()
+        assert play.lowest_units >= -CEILING_SLACK_UNITS, spike_at_ms
+
+
+# Guards against: a gateway falls back to its whole even share of a ceiling when its lease ends.
+def test_a_ceiling_holds_in_a_spike_after_the_lease_of_a_gateway_has_ended() -> None:
+    for silent_from_ms in (3_000.0, 14_000.0, 16_000.0):
+        for silent in ((0,), (0, 1, 2)):
+            play = CeilingPlay(66_000.0, silent, silent_from_ms)
+            play.run()
+            assert play.lowest_units >= -CEILING_SLACK_UNITS, (silent_from_ms, silent)
+
+
 WINDOW_MS = 3_000.0  # the attempts at a cold backend are counted in windows of this length
 WARM_RATE_PER_S = 10.0  # requests of mean work that a warm backend can process
 
