Client connections take turns: a flood of commands slows its sender alone

Cause: a connection processed all it had received, and uvloop reads one connection up to 32 times 64 KB before it turns to the next.

Change: clients/turns.py. A connection processes 1 ms or 32 commands, then it is read no further and waits; all together use 5 ms in an iteration of the event loop; those that have just sent something go first. Metric clients.waiting. Tests that handle many events without an event loop run its iterations now.

--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -18,6 +18,7 @@
 from switchline.net.memory import (
     MAX_COMMAND_HEAD_BYTES,
     MAX_VALUE_BYTES,
+    REDUCED_BUFFER_BYTES,
     STREAMING_THRESHOLD_BYTES,
     MemoryEntry,
     MemoryUse,
@@ -82,6 +83,8 @@
         self._held_commands = MemoryEntry(ledger, MemoryUse.COMMANDS)
         self.answers = AnswerWriter(MemoryEntry(ledger, MemoryUse.ANSWERS), self.parser.has_partial_value)
         self.slots = self.answers.slots  # of commands that are read and whose answers are not written yet
+        self.waits_for_turn = False  # others process their commands first (`Turns`)
+        self.has_backlog = False
         self._has_unparsed_bytes = False  # bytes were received that may contain a complete command
         self._pumping = False  # `pump` is running; prevents recursion
         # While half-closed: the last time at which the peer's system had not received everything.
@@ -139,8 +142,8 @@
         budget = self.server.buffer_budget
         if self.bodies.body is not None:
             return self.server.read_buffer[: budget.window_bytes]
-        if budget.ledger.is_short:
-            return self.server.read_buffer[: budget.ledger.buffer_bytes]
+        if budget.ledger.is_short or self.has_backlog:
+            return self.server.read_buffer[:REDUCED_BUFFER_BYTES]
         return self.server.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -200,7 +203,7 @@
         return self.server.closing_connections and not self.parser.has_partial_value()
 
     def _is_blocked(self) -> bool:
-        if self.answers.paused or self.closing:
+        if self.answers.paused or self.closing or self.waits_for_turn or self.lost:
             return True
         body = self.bodies.body
         if body is not None:
@@ -221,24 +224,35 @@
         return self.server.buffer_budget.ledger.is_short
 
     def _process_commands(self) -> None:
+        """Process commands until the turn of this connection is over, or nothing more can be processed."""
+        turns = self.server.turns
+        if not turns.begin_slice(self):
+            return
         try:
-            while not self._is_blocked():
-                if self.bodies.body is not None:
-                    if not self.bodies.receive(self.bodies.body):
-                        self._has_unparsed_bytes = False
-                        return
-                    continue
-                value = self.parser.next_value()
-                if value is INCOMPLETE:
-                    self._record_incomplete_command()
-                    return
-                self.last_used_s = time.monotonic()
-                if isinstance(value, StreamedStringStarted):
-                    self.bodies.begin(value)
-                else:
-                    dispatch(self, value)
+            while not self._is_blocked() and self._process_command():
+                turns.continue_slice(self)
         except ProtocolError as error:
             self.fail_protocol(str(error))
+        finally:
+            turns.end_slice()
+
+    def _process_command(self) -> bool:
+        """Process one command, or a piece of a long value; return False if its bytes have not arrived."""
+        if self.bodies.body is not None:
+            if not self.bodies.receive(self.bodies.body):
+                self._has_unparsed_bytes = False
+                return False
+            return True
+        value = self.parser.next_value()
+        if value is INCOMPLETE:
+            self._record_incomplete_command()
+            return False
+        self.last_used_s = time.monotonic()
+        if isinstance(value, StreamedStringStarted):
+            self.bodies.begin(value)
+        else:
+            dispatch(self, value)
+        return True
 
     def _record_incomplete_command(self) -> None:
         self._has_unparsed_bytes = False
--- a/switchline/clients/server.py
+++ b/switchline/clients/server.py
@@ -12,6 +12,7 @@
 from switchline.clients.places import ConnectionPlaces
 from switchline.clients.slot import Slot
 from switchline.clients.supervision import LINGER_TIMEOUT_S, check_connection
+from switchline.clients.turns import Turns
 from switchline.guard import Guard
 from switchline.net.accept import Acceptor
 from switchline.net.descriptors import Budget, DescriptorOwner
@@ -71,6 +72,7 @@
         self.buffer_budget = buffer_budget
         self.metrics = metrics
         self.guard = guard or Guard()
+        self.turns = Turns(self.guard)
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # shared: each read is parsed at once
         self.connections: set[ClientConnection] = set()
         self.places = ConnectionPlaces(budget, metrics)
@@ -203,7 +205,7 @@
 
     def gauges(self) -> dict[str, int]:
         """Metrics for operators."""
-        return self.places.gauges()
+        return self.places.gauges() | {"clients.waiting": self.turns.waiting}
 
     # ---- drain and hand-over ----
 
--- a/tests/clients/test_clients.py
+++ b/tests/clients/test_clients.py
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import hiredis
@@ -17,6 +18,7 @@
 from switchline.clients import server as clients
 from switchline.clients.commands import Command, parse_command
 from switchline.clients.slot import Slot
+from switchline.clients.turns import Turns
 from switchline.net.descriptors import Budget
 from switchline.net.streams import BufferBudget
 from switchline.operators.metrics import Metrics
@@ -573,6 +575,12 @@
     in_loop(scenario)
 
 
+def run_iterations(callbacks: list[Callable[[], None]]) -> None:
+    """Call what waits for later iterations of the event loop, until nothing does."""
+    while callbacks:
+        callbacks.pop(0)()
+
+
 def test_time_waited_behind_other_commands_counts_against_the_time_left(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -592,13 +600,17 @@
 
     handler: Any = Handler()
     server = clients.ClientServer(handler, Budget(256), BufferBudget(2**26), Metrics([]))
+    next_iteration: list[Callable[[], None]] = []
+    server.turns = Turns(server.guard, next_iteration.append)
     connection = connections.ClientConnection(server)
     connection.connection_made(Wire())
     commands = [encode(*request(b"r%d" % n)) for n in range(connections.MAX_PIPELINED_COMMANDS + 1)]
     connection.data_received(b"".join(commands))
+    run_iterations(next_iteration)
     assert len(handled_commands) == connections.MAX_PIPELINED_COMMANDS
     time_ms[0] += 300.0
     slots[0].answer(b"+OK\r\n")
+    run_iterations(next_iteration)
     assert [command.received_at_ms for command in handled_commands] == [1_000.0] * len(commands)
 
 
--- a/tests/clients/test_connections.py
+++ b/tests/clients/test_connections.py
@@ -30,6 +30,7 @@
 from switchline.clients.connection import ClientConnection
 from switchline.clients.server import ClientServer
 from switchline.clients.slot import Slot
+from switchline.clients.turns import Turns
 from switchline.config import ConfigError, load_config, parse_config
 from switchline.net import accept
 from switchline.net.accept import Acceptor, AcceptRate
@@ -237,6 +238,8 @@
     def __init__(self, limit: int = 256) -> None:
         self.handler, self.budget, self.metrics = RecordingHandler(), Budget(limit), Metrics([])
         self.server = ClientServer(self.handler, self.budget, BufferBudget(2**26), self.metrics)
+        self.next_iteration: list[Callable[[], None]] = []
+        self.server.turns = Turns(self.server.guard, self.next_iteration.append)
         self.request_count = 0
 
     def connect(self, peer: str = LOCAL) -> ClientConnection:
@@ -247,6 +250,14 @@
     def send_request(self, connection: ClientConnection, name: bytes = b"view") -> None:
         self.request_count += 1
         connection.data_received(encode(*request(b"r%d" % self.request_count, name=name)))
+        self.run_iteration()
+
+    def run_iteration(self) -> None:
+        """Call what waits for the next iteration, as the event loop would."""
+        callbacks = list(self.next_iteration)
+        self.next_iteration.clear()
+        for callback in callbacks:
+            callback()
 
     def answer_requests(self, connection: ClientConnection) -> None:
         for slot in self.handler.open_slots.pop(connection, ()):
@@ -293,7 +304,12 @@
     assert harness.metrics.evictions[EvictionReason.YOUNG] == 68
     harness.report_closed()
     assert harness.budget.in_use[DescriptorOwner.CLIENTS] == 128
-    assert harness.server.gauges() == {"clients.young": 32, "clients.in_use": 0, "clients.idle": 96}
+    assert harness.server.gauges() == {
+        "clients.young": 32,
+        "clients.in_use": 0,
+        "clients.idle": 96,
+        "clients.waiting": 0,
+    }
 
 
 def test_young_connections_stay_open_while_places_are_free() -> None:
