A value that is only announced counts as no memory once it is rejected

Cause: the parser counted the announced length before it compared it with the limit, and the connection lingered with that count after its error.

Change: a length over the limit is not counted, and a connection that will answer no further command frees what it holds of commands.

Measured: the new test of test_floods.py fails before and passes now.

--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -290,6 +290,7 @@
             reason: what broke the protocol, for the log.
         """
         self.begin_closing()
+        self.parser.discard()
         slot = self.bodies.abandon() if self.streamed_body is not None else Slot(self)
         if slot is not None:
             slot.answered = True
--- a/switchline/net/resp.py
+++ b/switchline/net/resp.py
@@ -91,6 +91,13 @@
             del self.buffer[: self._offset]
             self._offset = 0
 
+    def discard(self) -> None:
+        """Free the memory of all bytes, as no further value is parsed."""
+        self.buffer.clear()
+        self.array_items = None
+        self._offset = 0
+        self._announced_bytes = 0
+
     def has_partial_value(self) -> bool:
         """Whether bytes have arrived that do not belong to a value already returned."""
         return (
@@ -205,10 +212,10 @@
         ):
             self.streamed_remaining_bytes = length
             return StreamedStringStarted(list(self.array_items), self._missing_items, length)
+        if self._announced_bytes + length > self.max_bytes:
+            raise ProtocolError("value is longer than the maximum")
         self.bulk_length_bytes = length
         self._announced_bytes += length
-        if self._announced_bytes > self.max_bytes:
-            raise ProtocolError("value is longer than the maximum")
         return self._parse_bulk()
 
     def _parse_bulk(self) -> bytes | Literal[Incomplete.INCOMPLETE]:
--- a/tests/service/test_floods.py
+++ b/tests/service/test_floods.py
@@ -18,6 +18,7 @@
 import pytest
 from gateway_process import Program, connect_client, program
 
+from switchline.requests.lifecycle import CAPACITY_RETRY_AFTER_MS
 from testbed.network.sockets import Peer, Reply
 from testbed.stand_ins.backends import Backend
 from testbed.stand_ins.single_gateway import World, in_loop, request
@@ -89,3 +90,14 @@
                 assert all(answer == "b'value'" or answer.startswith("BUSY") for answer in client.answers)
 
     in_loop(scenario)
+
+
+# Guards against: values that peers only announce count as held memory, and others are rejected for it.
+def test_no_request_is_rejected_for_memory_beside_peers_that_announce_long_values(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with flooded_gateway(tmp_path, "long values", connections=12) as gateway:
+            client = QuietClient(0, await connect_client(gateway.port))
+            await client.ask_until(time.monotonic() + FLOOD_S)
+            assert f"BUSY {CAPACITY_RETRY_AFTER_MS}" not in client.answers
+
+    in_loop(scenario)
