A request's attributes have a bound, and its head counts as memory

Cause: each field became two objects and a place in a table for as long as its request was in flight, some MB a request; the ledger counted the value alone.

Change: a request with over 64 attributes, or over 4 KB of them, is rejected with an error before they are split; what remains of the head is counted.

--- a/switchline/clients/commands.py
+++ b/switchline/clients/commands.py
@@ -24,6 +24,8 @@
 # Customer ids are hexadecimal numbers below this bound.
 MAX_CUSTOMERS = 2**33
 MAX_ID_LENGTH = 64
+MAX_ATTRIBUTES = 64  # a request has at most nine
+MAX_ATTRIBUTES_BYTES = 4 * 1024
 # Attributes are forwarded to backends as they arrived. Python accepts more spellings of numbers (1_0, +2,
 # nan) than a backend does, so numbers must match these patterns.
 DECIMAL_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -72,8 +74,10 @@
 
     @property
     def held_bytes(self) -> int:
-        """The most memory that the value takes in this process while the request is in flight."""
-        buffered_bytes = len(self.encoded_value)
+        """The most memory that the command takes in this process while the request is in flight."""
+        attributes_bytes = len(self.before_time_left) + len(self.after_time_left)
+        # The attributes are held as text and as values.
+        buffered_bytes = len(self.encoded_value) + len(self.head) + 2 * attributes_bytes
         if self.streamed_body is not None:
             buffered_bytes += min(self.streamed_body.length_bytes, STREAMING_THRESHOLD_BYTES)
         return buffered_bytes
@@ -160,8 +164,11 @@
     """Parse `name=value` pairs.
 
     Raises:
-        ValueError: a pair or a number is malformed, or the request class or the time left is missing.
+        ValueError: a pair or a number is malformed, there are too many of them, or the request class or the
+            time left is missing.
     """
+    if len(attribute_text) > MAX_ATTRIBUTES_BYTES or attribute_text.count(b",") >= MAX_ATTRIBUTES:
+        raise ValueError("too many attributes")
     values: dict[bytes, bytes] = {}
     before_time_left = None
     after_time_left = b""
--- a/tests/service/test_floods.py
+++ b/tests/service/test_floods.py
@@ -17,6 +17,7 @@
 import flood
 import pytest
 from gateway_process import Program, connect_client, program
+from peak_memory import watched_memory
 
 from switchline.requests.lifecycle import CAPACITY_RETRY_AFTER_MS
 from testbed.network.sockets import Peer, Reply
@@ -32,11 +33,6 @@
 MEMORY_MB = 32
 
 
-async def work(command: list[bytes]) -> Reply:
-    await asyncio.sleep(WORK_S)
-    return REPLY
-
-
 @dataclass
 class QuietClient:
     """A client that sends one request after another, with a pause, and notes how long each answer takes."""
@@ -57,8 +53,15 @@
 
 
 @asynccontextmanager
-async def flooded_gateway(folder: Path, kind: str, connections: int) -> AsyncIterator[Program]:
+async def flooded_gateway(
+    folder: Path, kind: str, connections: int, work_s: float = WORK_S
+) -> AsyncIterator[Program]:
     """Run a gateway to which peers of a kind send at full speed for `FLOOD_S`."""
+
+    async def work(command: list[bytes]) -> Reply:
+        await asyncio.sleep(work_s)
+        return REPLY
+
     world = World(*[Backend(work) for _ in range(4)], memory_mb=MEMORY_MB, sockets=1024)
     async with program(folder, world) as gateway:
         (await connect_client(gateway.port)).close()
@@ -101,3 +104,21 @@
             assert f"BUSY {CAPACITY_RETRY_AFTER_MS}" not in client.answers
 
     in_loop(scenario)
+
+
+# Guards against: heads of very many short fields whose requests wait for backends, and ever new names, take
+# the gateway over its limit (rule on lost requests, picture b).
+@pytest.mark.parametrize("kind", flood.KINDS)
+def test_gateway_stays_under_its_memory_limit_beside_many_peers_that_send_at_full_speed(
+    kind: str, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        async with (
+            flooded_gateway(tmp_path, kind, connections=300, work_s=FLOOD_S) as gateway,
+            watched_memory(gateway.process.pid) as memory,
+        ):
+            await asyncio.sleep(FLOOD_S + 0.5)
+            print(f"peak {memory.peak_mb:.1f} MB")
+            assert memory.peak_mb < MEMORY_MB
+
+    in_loop(scenario)
--- a/tests/service/test_memory_limit.py
+++ b/tests/service/test_memory_limit.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -16,6 +15,7 @@
 
 import pytest
 from gateway_process import program
+from peak_memory import PeakMemory, watched_memory
 
 from testbed.network.sockets import LOCAL, Peer, Reply, encode
 from testbed.stand_ins.backends import Backend
@@ -50,21 +50,6 @@
 Play = Callable[[list[Peer]], Awaitable[None]]
 
 
-class PeakMemory:
-    """The most anonymous memory of a process."""
-
-    def __init__(self, pid: int) -> None:
-        self.status = Path(f"/proc/{pid}/status")
-        self.peak_mb = 0.0
-
-    async def watch(self) -> None:
-        while True:
-            for line in self.status.read_text().splitlines():
-                if line.startswith("RssAnon:"):
-                    self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
-            await asyncio.sleep(0.02)
-
-
 def reply_with(value: bytes) -> bytes:
     return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value)
 
@@ -81,14 +66,8 @@
     async with program(folder, world) as running_program:
         peer = await connect(running_program.port)
         peer.close()
-        memory = PeakMemory(running_program.process.pid)
-        watching = asyncio.create_task(memory.watch())
-        try:
+        async with watched_memory(running_program.process.pid) as memory:
             yield running_program.port, memory
-        finally:
-            watching.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await watching
 
 
 async def connect(port: int) -> Peer:
--- a/tests/support/flood.py
+++ b/tests/support/flood.py
@@ -15,7 +15,7 @@
 
 BLOCK_COMMANDS = 500  # commands that are encoded at once
 READ_BYTES = 1 << 20
-ATTRIBUTES = b"c=view,t=basic,d=2000,units=1,spread=1,first=0"
+ATTRIBUTES = b"c=view,t=free,d=2000,units=1,spread=1,first=0"
 
 
 def encode(*arguments: bytes) -> bytes:
