Turns of connections are in the order of their use: quiet ones before 300 floods

Change: start-time fair queueing. A connection's virtual time advances by what its slices take, and the least advanced one goes first.

--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -85,6 +85,7 @@
         self.slots = self.answers.slots  # of commands that are read and whose answers are not written yet
         self.waits_for_turn = False  # others process their commands first (`Turns`)
         self.has_backlog = False
+        self.virtual_time_s = 0.0
         self._has_unparsed_bytes = False  # bytes were received that may contain a complete command
         self._pumping = False  # `pump` is running; prevents recursion
         # While half-closed: the last time at which the peer's system had not received everything.
@@ -229,12 +230,12 @@
         if not turns.begin_slice(self):
             return
         try:
-            while not self._is_blocked() and self._process_command():
+            while not (self.has_backlog or self._is_blocked()) and self._process_command():
                 turns.continue_slice(self)
         except ProtocolError as error:
             self.fail_protocol(str(error))
         finally:
-            turns.end_slice()
+            turns.end_slice(self)
 
     def _process_command(self) -> bool:
         """Process one command, or a piece of a long value; return False if its bytes have not arrived."""
--- a/switchline/clients/turns.py
+++ b/switchline/clients/turns.py
@@ -2,15 +2,18 @@
 
 One connection can have any number of commands waiting, and the event loop reads from it many times in one
 iteration. So each connection processes a slice of its commands at a time, and all connections together use at
-most `ITERATION_S` in one iteration of the event loop. The others wait for a later one: first those that have
-just sent something, then those that have used up a slice and have more to process.
+most `ITERATION_S` in one iteration of the event loop. The others wait for a later one.
+
+The order is that of start-time fair queueing: each connection has a virtual time, which the time of its
+slices advances, and the one that is least advanced goes first. A connection that has sent little recently
+begins at the virtual time of the queue, ahead of all that have used up a slice since.
 """
 
 from __future__ import annotations
 
 import asyncio
+import heapq
 import time
-from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -27,25 +30,29 @@
     """A connection that processes its commands in slices."""
 
     waits_for_turn: bool
-    has_backlog: bool  # its last slice was used up, and it has had no chance to process the rest
+    has_backlog: bool  # its last slice was used up, so it may have more commands to process
+    virtual_time_s: float  # the virtual time at which its next slice may begin
 
     def pump(self) -> None:
         """Process commands, as it is this connection's turn."""
 
 
 class Turns:
-    """Owns the queues of connections that wait for their turn, and the time used in this iteration.
+    """Owns the queue of connections that wait for their turn, and the time used in this iteration.
 
     Args:
         guard: contains faults of a connection, so that the others have their turns.
         call_soon: calls a function in the next iteration; by default that of the running event loop.
     """
 
-    def __init__(self, guard: Guard, call_soon: Callable[[Callable[[], None]], object] | None = None) -> None:
+    def __init__(
+        self, guard: Guard, call_soon: Callable[[Callable[[], None]], object] | None = None
+    ) -> None:
         self.guard = guard
         self._call_soon = call_soon
-        self._arrived: deque[TurnTaker] = deque()
-        self._backlogged: deque[TurnTaker] = deque()
+        self._queue: list[tuple[float, int, TurnTaker]] = []  # a heap, by virtual time and arrival
+        self._arrivals = 0
+        self._virtual_time_s = 0.0
         self._used_s = 0.0
         self._slice_started_s = 0.0
         self._slice_commands = 0
@@ -54,11 +61,13 @@
     @property
     def waiting(self) -> int:
         """Number of connections that wait for their turn."""
-        return len(self._arrived) + len(self._backlogged)
+        return len(self._queue)
 
     def begin_slice(self, connection: TurnTaker) -> bool:
         """Return whether a connection may process commands now; if not, it waits for a later iteration."""
-        if self._used_s >= ITERATION_S:
+        connection.virtual_time_s = max(connection.virtual_time_s, self._virtual_time_s)
+        is_behind_others = bool(self._queue) and connection.virtual_time_s > self._virtual_time_s
+        if self._used_s >= ITERATION_S or is_behind_others:
             self._defer(connection)
             return False
         self._slice_started_s = time.perf_counter()
@@ -72,17 +81,21 @@
         used_s = time.perf_counter() - self._slice_started_s
         if used_s >= SLICE_S or self._slice_commands >= SLICE_COMMANDS:
             connection.has_backlog = True
-            self._defer(connection)
 
-    def end_slice(self) -> None:
-        """Count the time of a slice."""
-        self._used_s += time.perf_counter() - self._slice_started_s
+    def end_slice(self, connection: TurnTaker) -> None:
+        """Count the time of a slice; a connection that has used it up waits for its next turn."""
+        used_s = time.perf_counter() - self._slice_started_s
+        self._used_s += used_s
+        connection.virtual_time_s += used_s
+        if connection.has_backlog:
+            self._defer(connection)
         if self._used_s >= MIN_ACCOUNTED_S:
             self._schedule()
 
     def _defer(self, connection: TurnTaker) -> None:
         connection.waits_for_turn = True
-        (self._backlogged if connection.has_backlog else self._arrived).append(connection)
+        self._arrivals += 1
+        heapq.heappush(self._queue, (connection.virtual_time_s, self._arrivals, connection))
         self._schedule()
 
     def _schedule(self) -> None:
@@ -92,19 +105,12 @@
             call_soon(self._run)
 
     def _run(self) -> None:
-        """Begin a new iteration; at least one connection of each queue has its turn in it."""
+        """Begin a new iteration, and serve connections until its time is used up."""
         self._is_scheduled = False
         self._used_s = 0.0
-        self._serve(self._arrived)
-        self._used_s = min(self._used_s, ITERATION_S - MIN_ACCOUNTED_S)
-        self._serve(self._backlogged)
-        if self._arrived or self._backlogged:
-            self._schedule()
-
-    def _serve(self, queue: deque[TurnTaker]) -> None:
-        for _ in range(len(queue)):
-            if self._used_s >= ITERATION_S:
-                return
-            connection = queue.popleft()
+        while self._queue and self._used_s < ITERATION_S:
+            self._virtual_time_s, _, connection = heapq.heappop(self._queue)
             connection.waits_for_turn = False
             self.guard.call("a client's connection", connection.pump)
+        if self._queue:
+            self._schedule()
