The number of customers has a bound: ever new names fill no memory

Cause: each customer is kept for 15 s after its last request, however many there are.

Those asked for once are removed first, then those not asked for longest; customers with attempts in flight stay. If removed ones have a ceiling, new customers begin with an empty one, as after a start.

Without the bound the first new test fails; the second holds the ceiling of a removed customer.

--- a/switchline/policy/gateway.py
+++ b/switchline/policy/gateway.py
@@ -161,6 +161,7 @@
 
     def _on_request(self, now: float, event: api.RequestArrived, actions: api.Actions) -> None:
         self.customers.remove_idle(now, actions)
+        self.customers.make_room(now, actions)
         remaining_ms = event.expires_ms - now
         request_class = self.classes.get(event.request_class) or api.RequestClass(
             event.request_class, remaining_ms, remaining_ms
--- a/tests/policy/test_leases.py
+++ b/tests/policy/test_leases.py
@@ -10,6 +10,7 @@
 from switchline.policy.quota.admission import VERY_SPARSE_RATIO
 from switchline.policy.quota.ceiling_share import DEMAND_CEILING_RATIO, EVEN_CEILING_RATIO
 from switchline.policy.quota.customer import LEASE_MS
+from switchline.policy.quota.customers import MAX_CUSTOMERS
 from switchline.policy.quota.lease_sizing import (
     PERIOD_MS,
     REFRESH_MS,
@@ -409,6 +410,27 @@
     assert len(world.gateway.customers.by_key) == 1
 
 
+# Guards against: a client that names ever new customers fills the memory (rule on lost requests, picture b).
+def test_beyond_the_maximum_customers_that_were_asked_for_once_are_removed_first() -> None:
+    world = GatewayHarness(uses_counter=False)
+    for _ in range(2):
+        world.ask(customer="regular", plan="firm")
+    for number in range(MAX_CUSTOMERS + 1_000):
+        (rejection,) = rejections(world.ask(customer=f"n{number}", plan="firm"))  # its ceiling starts empty
+    customers = world.gateway.customers.by_key
+    assert len(customers) <= MAX_CUSTOMERS and "regular" in customers and "n0" not in customers
+
+
+def test_removed_customers_do_not_come_back_with_a_full_ceiling() -> None:
+    world = GatewayHarness(uses_counter=False)
+    world.pass_time(10_000)  # the ceiling of a customer that is asked for now is full
+    assert drain(world, 2, plan="firm", customer="spent") == 2
+    for number in range(2 * MAX_CUSTOMERS):
+        world.ask(customer=f"n{number // 2}", plan="firm")
+    assert "spent" not in world.gateway.customers.by_key
+    assert not drain(world, 2, plan="firm", customer="spent")
+
+
 def test_a_reply_for_a_removed_customer_is_ignored() -> None:
     world = GatewayHarness()
     call = counter_calls(world.ask() + world.ask() + world.ask() + world.ask() + world.ask())[0]
