Both copies of a value count as memory; a command that has begun does not wait

Cause: a request with a buffered value is held twice while it is sent, once as read and once as encoded for the backend; the ledger counted one. The turns made it worse, as bytes waited here that were consumed at once before: pieces of values, read 64 KB at a time even while memory was short.

Change: both copies count.

--- a/switchline/clients/commands.py
+++ b/switchline/clients/commands.py
@@ -76,8 +76,8 @@
     def held_bytes(self) -> int:
         """The most memory that the command takes in this process while the request is in flight."""
         attributes_bytes = len(self.before_time_left) + len(self.after_time_left)
-        # The attributes are held as text and as values.
-        buffered_bytes = len(self.encoded_value) + len(self.head) + 2 * attributes_bytes
+        # While an attempt is sent there is a second copy of all of it.
+        buffered_bytes = 2 * (len(self.encoded_value) + len(self.head) + attributes_bytes)
         if self.streamed_body is not None:
             buffered_bytes += min(self.streamed_body.length_bytes, STREAMING_THRESHOLD_BYTES)
         return buffered_bytes
--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -38,6 +38,7 @@
 MAX_COMMAND_BYTES = STREAMING_THRESHOLD_BYTES + MAX_COMMAND_HEAD_BYTES  # without a streamed value
 MAX_ARGUMENTS = 16  # a request has at most five, and the set-up commands of client libraries few more
 READ_BUFFER_BYTES = 64 * 1024
+WAITING_READ_BYTES = 2 * 1024  # of what has to wait for its turn; it holds most requests without a value
 # Bytes that are read and discarded after the last command. A peer that sends more is read no further while
 # answers are due, and disconnected after the last one.
 MAX_DISCARDED_BYTES = 256 * 1024
@@ -85,6 +86,7 @@
         self.slots = self.answers.slots  # of commands that are read and whose answers are not written yet
         self.waits_for_turn = False  # others process their commands first (`Turns`)
         self.has_backlog = False
+        self.continues_command = False
         self.virtual_time_s = 0.0
         self._has_unparsed_bytes = False  # bytes were received that may contain a complete command
         self._pumping = False  # `pump` is running; prevents recursion
@@ -141,10 +143,12 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """See asyncio.BufferedProtocol."""
         budget = self.server.buffer_budget
-        if self.bodies.body is not None:
-            return self.server.read_buffer[: budget.window_bytes]
+        if self.server.turns.is_iteration_used_up:
+            return self.server.read_buffer[:WAITING_READ_BYTES]
         if budget.ledger.is_short or self.has_backlog:
             return self.server.read_buffer[:REDUCED_BUFFER_BYTES]
+        if self.bodies.body is not None:
+            return self.server.read_buffer[: budget.window_bytes]
         return self.server.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -157,13 +161,13 @@
             self._discard(len(data))  # no further command is answered, and the bytes must not fill memory
             return
         self.received_at_ms = now_ms()
-        self._limit_buffered_value()
+        self.continues_command = not self.waits_for_turn and self.parser.has_partial_value()
         self.parser.feed(data)
         self._has_unparsed_bytes = True
         self.pump()
 
     def _limit_buffered_value(self) -> None:
-        """Choose which values of the commands that arrive now are streamed instead of buffered."""
+        """Choose which values of the commands that are parsed now are streamed instead of buffered."""
         threshold_bytes = self.server.buffer_budget.ledger.buffer_bytes
         if self.parser.streaming_threshold_bytes == threshold_bytes:
             return
@@ -228,6 +232,7 @@
 
         Answers that are available at the same time are written together.
         """
+        self._limit_buffered_value()
         try:
             while self._can_process() and not self.has_backlog:
                 self._process_commands()
@@ -238,7 +243,8 @@
     def _process_commands(self) -> None:
         try:
             while not (self.has_backlog or self._is_blocked()) and self._process_command():
-                self.has_backlog = self.server.turns.uses_up_slice() and self.parser.has_partial_value()
+                is_used_up = self.server.turns.uses_up_slice(self.bodies.body is not None)
+                self.has_backlog = is_used_up and self.parser.has_partial_value()
         except ProtocolError as error:
             self.fail_protocol(str(error))
 
--- a/switchline/clients/turns.py
+++ b/switchline/clients/turns.py
@@ -31,6 +31,8 @@
 
     waits_for_turn: bool
     has_backlog: bool  # its last slice was used up, so it may have more commands to process
+    # It has received more of a command that has begun. This does not wait, as the command is held meanwhile.
+    continues_command: bool
     virtual_time_s: float  # the virtual time at which its next slice may begin
 
     def pump(self) -> None:
@@ -62,23 +64,31 @@
         """Number of connections that wait for their turn."""
         return len(self._queue)
 
+    @property
+    def is_iteration_used_up(self) -> bool:
+        """Whether a connection that sends something now has to wait for a later iteration."""
+        return self._used_s >= ITERATION_S
+
     def begin_slice(self, connection: TurnTaker) -> bool:
         """Return whether a connection may process commands now; if not, it waits for a later iteration."""
         connection.virtual_time_s = max(connection.virtual_time_s, self._virtual_time_s)
         is_behind_others = bool(self._queue) and connection.virtual_time_s > self._virtual_time_s
-        if self._used_s >= ITERATION_S or is_behind_others:
+        if (self.is_iteration_used_up or is_behind_others) and not connection.continues_command:
             self._defer(connection)
             return False
+        connection.continues_command = False
         self._slice_started_s = time.perf_counter()
         self._slice_commands = 0
         connection.has_backlog = False
         return True
 
-    def uses_up_slice(self) -> bool:
-        """Count one command, and return whether the slice is used up."""
+    def uses_up_slice(self, is_within_command: bool) -> bool:
+        """Count one command or a piece of one, and return whether the slice is used up."""
         self._slice_commands += 1
         used_s = time.perf_counter() - self._slice_started_s
-        return used_s >= SLICE_S or self._slice_commands >= SLICE_COMMANDS
+        if self._slice_commands >= SLICE_COMMANDS or (self.is_iteration_used_up and not is_within_command):
+            return True
+        return used_s >= SLICE_S
 
     def end_slice(self, connection: TurnTaker) -> None:
         """Count the time of a slice; a connection that has a backlog after it waits for its next turn."""
--- a/tests/clients/test_turns.py
+++ b/tests/clients/test_turns.py
@@ -30,6 +30,7 @@
     def __init__(self, queue: Turns, clock: Clock, command_s: float, commands: int) -> None:
         self.waits_for_turn = False
         self.has_backlog = False
+        self.continues_command = False
         self.virtual_time_s = 0.0
         self.turns, self.clock = queue, clock
         self.command_s, self.commands = command_s, commands
@@ -42,7 +43,7 @@
             self.commands -= 1
             self.done += 1
             self.clock.now_s += self.command_s
-            self.has_backlog = self.turns.uses_up_slice() and self.commands > 0
+            self.has_backlog = self.turns.uses_up_slice(is_within_command=False) and self.commands > 0
         self.turns.end_slice(self)
 
 
