A request that must not run twice is not sent again if its id comes again

Cause: an id was known only while its request was in flight in this process.

Change: requests/sent_requests.py remembers what was sent for as long as the longest deadline; the second arrival gets -ERR failed. The processes of an upgrade tell each other. What a backend has turned away may come again.

--- a/switchline/log_events.py
+++ b/switchline/log_events.py
@@ -27,6 +27,7 @@
     "request rejected for memory: commands=%d requests=%d answers=%d collected=%d limit=%d"
 )
 ANSWER_NOT_COLLECTED: Final = "no memory in time to collect a long answer: request=%s length=%d"
+REQUEST_REPEATED: Final = "request has come again after it was sent: request=%s"
 REQUEST_UNANSWERED: Final = "request unanswered at its deadline: request=%s"
 
 # Operator overrides and records on disk.
--- a/switchline/requests/attempts.py
+++ b/switchline/requests/attempts.py
@@ -108,6 +108,8 @@
     def on_written(self, request: Request, number: int, attempt: Attempt) -> None:
         """Record when the last byte of an attempt was sent."""
         request.sent_at_ms[number] = now_ms()
+        if request.request_class.effect is not api.Effect.IDEMPOTENT:
+            self.requests.sent.add(request.id)
         if request.command.streamed_body is not None:
             self.send_event(api.RequestBodySent(request.id, number))
 
@@ -156,6 +158,8 @@
         del self.in_flight[request.id, number], request.in_flight[number]
         if outcome in NEVER_RAN:
             request.sent_at_ms.pop(number, None)
+            if not request.sent_at_ms:
+                self.requests.sent.discard(request.id)
         self._answer(request, number, outcome, value)
         finished = (
             request.streaming_attempt is not None or self.requests.in_flight.get(request.id) is not request
--- a/switchline/requests/lifecycle.py
+++ b/switchline/requests/lifecycle.py
@@ -18,6 +18,7 @@
 from switchline.requests.arrivals import MAX_CLIENT_WAIT_MS, CommandReader, MalformedCommandError
 from switchline.requests.context import RequestContext
 from switchline.requests.request import Request
+from switchline.requests.sent_requests import SentRequests
 
 log = logging.getLogger(__name__)
 
@@ -30,6 +31,11 @@
 REQUESTS_PER_CONNECTION = 2
 
 
+def max_deadline_ms(settings: api.Settings) -> float:
+    """Return the longest deadline of a class, in milliseconds."""
+    return max((request_class.deadline_ms for request_class in settings.classes), default=0.0)
+
+
 class RequestLifecycle:
     """Owns the requests in flight and gives each exactly one final answer."""
 
@@ -44,6 +50,8 @@
         self.report = context.report
         self.send_event = context.send_event
         self.in_flight: dict[str, Request] = {}
+        # Those that must not run twice.
+        self.sent = SentRequests(min(MAX_CLIENT_WAIT_MS, max_deadline_ms(context.settings)))
         self.is_shutting_down = False  # whether the process is about to end
 
     def on_command(self, command: Command, slot: Slot) -> None:
@@ -55,6 +63,9 @@
         if command.id in self.in_flight:
             raise MalformedCommandError("id in use")
         event = self.reader.read(command)
+        if command.id in self.sent:
+            self._fail_repeated(event.request_class, slot)
+            return
         self.shares.limit = min(
             self.max_in_flight,
             REQUESTS_PER_CONNECTION * self.backends.budget.limit_of(DescriptorOwner.BACKENDS),
@@ -78,6 +89,13 @@
         request.expiry_timer = self.timers.at(due_ms, partial(self._on_expired, request))
         self.send_event(event)
 
+    def _fail_repeated(self, class_name: str, slot: Slot) -> None:
+        """Answer a request that has come again: it may have run, and must not run twice."""
+        log.warning(log_events.REQUEST_REPEATED, slot.request_id)
+        self.report.counts["came again"] += 1
+        self.metrics.count_outcome(class_name, OutcomeKind.ABORTED)
+        slot.answer(FAILED_REPLY)
+
     def check(self, command: Command) -> None:
         """Raise MalformedCommandError if a command is malformed."""
         self.reader.read(command)
--- a/switchline/service/upgrade.py
+++ b/switchline/service/upgrade.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import logging
-from functools import partial
 from typing import TYPE_CHECKING
 
 from switchline import log_events
@@ -53,13 +52,15 @@
         self.handover = UpgradeHandover(
             private_file(parts.config.name, SOCKET_FILE),
             HandoverEvents(
-                peer_joined=partial(parts.driver.dispatch, api.PeerProcessJoined()),
+                peer_joined=self._on_peer_joined,
                 record_received=parts.driver.on_peer_record,
                 peer_serving=self._hand_over,
                 peer_left=self._on_peer_left,
                 descriptors_reported=self._set_peer_descriptors,
+                request_sent=parts.driver.requests.sent.add_of_peer,
             ),
         )
+        parts.driver.requests.sent.on_added = self.handover.report_request
         self._idle_task: asyncio.Task[None] | None = None
         self._rejoin_task: asyncio.Task[None] | None = None
 
@@ -68,6 +69,12 @@
         """Whether this process has taken over from an older one."""
         return self.handover.state_received.is_set()
 
+    def _on_peer_joined(self) -> None:
+        """Send a new process the state of the policy, and the requests that must not run twice."""
+        self.parts.driver.dispatch(api.PeerProcessJoined())
+        for request_id in self.parts.driver.requests.sent:
+            self.handover.report_request(request_id)
+
     def _hand_over(self) -> None:
         """Hand over to the new process, which accepts clients; this one ends after its last connection."""
         log.info(log_events.HANDING_OVER)
--- a/switchline/upgrade/handover.py
+++ b/switchline/upgrade/handover.py
@@ -18,7 +18,14 @@
 
 from switchline.net.listen import close_socket
 from switchline.upgrade.connection import HandoverConnection, short_socket_path
-from switchline.upgrade.messages import DescriptorsInUse, Message, PolicyRecord, Serving, StateSent
+from switchline.upgrade.messages import (
+    DescriptorsInUse,
+    Message,
+    PolicyRecord,
+    RequestSent,
+    Serving,
+    StateSent,
+)
 
 log = logging.getLogger(__name__)
 
@@ -36,6 +43,7 @@
         peer_serving: the new process accepts clients.
         peer_left: the connection to the peer process has ended.
         descriptors_reported: called with the number of descriptors that the old process has open.
+        request_sent: called with the id of a request that the peer process has sent to a backend.
     """
 
     peer_joined: Callable[[], None]
@@ -43,6 +51,7 @@
     peer_serving: Callable[[], None]
     peer_left: Callable[[], None]
     descriptors_reported: Callable[[int], None]
+    request_sent: Callable[[str], None]
 
 
 class UpgradeHandover:
@@ -72,6 +81,10 @@
         """Notify the new process of the number of descriptors that this one still has open."""
         self._send(DescriptorsInUse(count))
 
+    def report_request(self, request_id: str) -> None:
+        """Notify the peer process of a request that was sent to a backend and must not run twice."""
+        self._send(RequestSent(request_id))
+
     def _send(self, message: Message) -> None:
         if self.peer is not None:
             self.peer.send(message)
@@ -139,6 +152,8 @@
                 self.events.peer_serving()
             case DescriptorsInUse(count):
                 self.events.descriptors_reported(count)
+            case RequestSent(request_id):
+                self.events.request_sent(request_id)
             case PolicyRecord(fields):
                 self.events.record_received(fields)
 
--- a/switchline/upgrade/messages.py
+++ b/switchline/upgrade/messages.py
@@ -1,6 +1,6 @@
 """Messages between the two processes of an upgrade: one JSON array in each line, in both directions.
 
-Three kinds of messages are for the hand-over itself; all others are records of the policy and are passed on
+Four kinds of messages are for the hand-over itself; all others are records of the policy and are passed on
 unchanged. The tags on the wire are fixed, because the two processes may be of different releases.
 """
 
@@ -15,6 +15,7 @@
 STATE_SENT_TAG = "told"
 SERVING_TAG = "serving"
 DESCRIPTORS_TAG = "holds"
+REQUEST_SENT_TAG = "request"
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,13 @@
     count: int
 
 
+@dataclass(frozen=True, slots=True)
+class RequestSent:
+    """The sender has sent a request to a backend that must not run twice."""
+
+    id: str
+
+
 @dataclass(frozen=True, slots=True)
 class PolicyRecord:
     """A record for the policy of the peer process."""
@@ -41,7 +49,7 @@
     fields: list[Any]
 
 
-Message = StateSent | Serving | DescriptorsInUse | PolicyRecord
+Message = StateSent | Serving | DescriptorsInUse | RequestSent | PolicyRecord
 
 
 class MessageError(ValueError):
@@ -58,6 +66,8 @@
             fields = [SERVING_TAG]
         case DescriptorsInUse(count):
             fields = [DESCRIPTORS_TAG, count]
+        case RequestSent(request_id):
+            fields = [REQUEST_SENT_TAG, request_id]
         case PolicyRecord(record):
             fields = record
     return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
@@ -80,4 +90,6 @@
         return Serving()
     if tag == DESCRIPTORS_TAG and len(fields) > 1 and isinstance(fields[1], int):
         return DescriptorsInUse(fields[1])
+    if tag == REQUEST_SENT_TAG and len(fields) > 1 and isinstance(fields[1], str):
+        return RequestSent(fields[1])
     return PolicyRecord(fields)
--- a/tests/recordings/test_stored_data.py
+++ b/tests/recordings/test_stored_data.py
@@ -165,6 +165,7 @@
             peer_serving=lambda: self.calls.append("serving"),
             peer_left=lambda: self.calls.append("left"),
             descriptors_reported=self.descriptors.append,
+            request_sent=lambda request: self.calls.append(f"sent {request}"),
         )
         self.handover = UpgradeHandover(path, events)
 
