An attempt that is given up sends nothing more, also not by the system

Cause: the connection of an attempt that is given up was closed, which first sends all that the system holds.

Change: the close drops what the backend's system has not acknowledged.

--- a/switchline/backends/connection.py
+++ b/switchline/backends/connection.py
@@ -29,6 +29,7 @@
     StreamedStringStarted,
     Value,
 )
+from switchline.net.socket_state import drop_unacknowledged
 from switchline.net.streams import Forwarding, StreamedResponse
 from switchline.policy.interface import Outcome
 
@@ -432,6 +433,7 @@
             self._handshake_timer.cancel()
         self.pool.loop.remove_reader(self.fd)
         self.pool.loop.remove_writer(self.fd)
+        drop_unacknowledged(self.socket)  # the rest of a request that is given up must not arrive and run
         close_socket(self.socket)
         self.endpoint.connecting.discard(self)
         self.endpoint.settling.discard(self)
--- a/switchline/net/socket_state.py
+++ b/switchline/net/socket_state.py
@@ -1,13 +1,16 @@
-"""Queries to the system about a socket: events not read yet, and bytes that the peer has not received yet."""
+"""What the system knows of a socket: events not read yet, and bytes that the peer has not received yet."""
 
 from __future__ import annotations
 
 import fcntl
 import select
+import socket
+import struct
 import sys
 import termios
 
 NO_COUNT = bytes(4)  # the system writes an int in its place
+NO_LINGER = struct.pack("ii", 1, 0)  # a close drops what has not been sent, and resets the connection
 
 
 def _pending_events(fd: int, events: int) -> int:
@@ -62,3 +65,12 @@
     except OSError:
         return 0
     return int.from_bytes(count, sys.byteorder)
+
+
+def drop_unacknowledged(sock: socket.socket) -> None:
+    """Let the close of a socket drop what the peer's system has not acknowledged, instead of sending it."""
+    try:
+        if unacknowledged_bytes(sock.fileno()):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    except OSError:
+        pass  # the connection has failed, so that nothing is sent any more
--- a/tests/backends/test_backends.py
+++ b/tests/backends/test_backends.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
+from typing import cast
 
 import pytest
 from backend_attempts import RecordedAttempt, running_pool
@@ -17,7 +19,7 @@
 from switchline.policy.interface import BackendState, Outcome
 from testbed.network.sockets import LINGER, LOCAL, Peer, Reply, Server, until
 from testbed.stand_ins.backends import Backend
-from testbed.stand_ins.single_gateway import World, in_loop, running
+from testbed.stand_ins.single_gateway import World, in_loop, request, running
 
 OK_REPLY = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
@@ -461,3 +463,45 @@
             assert await second.result() == (Outcome.OK, b"two")
 
     in_loop(scenario)
+
+
+class LateReader(Backend):
+    """Reads nothing before it is told to; then notes how many bytes come until the connection ends."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.may_read = asyncio.Event()
+        self.read_bytes: list[int] = []
+
+    async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+        transport = cast(asyncio.Transport, writer.transport)
+        transport.pause_reading()
+        await self.may_read.wait()
+        transport.resume_reading()
+        received = 0
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                received += len(data)
+        self.read_bytes.append(received)
+
+
+# Guards against: a request is sent on by the system after its client has left (lost requests, picture c).
+def test_rest_of_a_request_whose_client_has_left_does_not_reach_the_backend() -> None:
+    body = b"x" * 1_500_000
+
+    async def scenario() -> None:
+        backend = LateReader()
+        async with running(World(backend)) as world:
+            peer = await world.client()
+            peer.send(*request(b"order", name=b"wipe", body=body))
+            await until(lambda: backend.open)
+            await asyncio.sleep(0.3)
+            peer.close()
+            await asyncio.sleep(0.3)
+            backend.may_read.set()
+            await until(lambda: backend.read_bytes)
+            assert backend.read_bytes[0] < len(body)
+
+    in_loop(scenario)
