A long answer is held back for 1.5 s at most, and passed on while it arrives

Cause: with commands behind it a long answer is collected whole, without a limit in time, and failed at its deadline; the end of a process failed it too.

Change: after 1.25 to 1.5 s, or at its deadline, it is passed on as it arrives, if bytes have come since the last check; a silent one fails alone as before. The process lets answers that have begun go on, for 30 s at most.

--- a/switchline/clients/server.py
+++ b/switchline/clients/server.py
@@ -129,8 +129,10 @@
             await self.empty.wait()
 
     async def wait_until_delivered(self) -> None:
-        """Wait until the peers' systems have received all answers that are written."""
-        while any(connection.undelivered_bytes for connection in self.connections):
+        """Wait until the peers' systems have received all answers that are written or begun."""
+        while any(
+            connection.answers.is_streaming or connection.undelivered_bytes for connection in self.connections
+        ):
             await asyncio.sleep(DELIVERY_POLL_INTERVAL_S)
 
     def close(self) -> None:
--- a/switchline/clients/slot.py
+++ b/switchline/clients/slot.py
@@ -33,6 +33,12 @@
             None  # called after the last byte of `response` is written
         )
 
+    @property
+    def is_due(self) -> bool:
+        """Whether all answers to earlier commands are written."""
+        slots = self.connection.slots
+        return bool(slots) and slots[0] is self
+
     def answer(self, reply: bytes) -> None:
         """Set the final answer. A second answer is not sent; it is counted as a violated invariant."""
         if not self.answered:
--- a/switchline/net/streams.py
+++ b/switchline/net/streams.py
@@ -121,7 +121,7 @@
 
 
 class Forwarding(Enum):
-    """How a long answer is passed on: STREAMED, or WAITING -> COLLECTED."""
+    """How a long answer is passed on: STREAMED, or WAITING -> COLLECTED; both may end in STREAMED."""
 
     STREAMED = auto()  # each piece is written as soon as it has arrived
     WAITING = auto()  # for memory, before it is collected
@@ -144,6 +144,9 @@
         self.forwarding = Forwarding.STREAMED
         self.started = False  # whether bytes have been taken for writing
         self.dropped = False
+        self._may_be_collected = True
+        self._received_bytes = 0
+        self._checked_bytes = 0  # number of bytes that had been received at the last check
         self.on_capacity: Callable[[], None] | None = None  # called when reading from the backend may resume
         self.complete = False  # whether the backend has sent the whole value
         header = b"$%d" % length_bytes + CRLF
@@ -173,10 +176,32 @@
 
         The value is collected in memory. Until memory is reserved for it, reading from the backend pauses.
         """
-        if self.forwarding is Forwarding.STREAMED and not self.complete and not self.dropped:
+        is_streamed = self.forwarding is Forwarding.STREAMED and self._may_be_collected
+        if is_streamed and not self.complete and not self.dropped:
             self.forwarding = Forwarding.WAITING
             self.buffer_budget.collections.enter(self)
 
+    @property
+    def is_arriving(self) -> bool:
+        """Whether the backend has sent bytes since the last check."""
+        return self._received_bytes > self._checked_bytes
+
+    def check(self) -> None:
+        """Note how much has been received; called from time to time."""
+        self._checked_bytes = self._received_bytes
+
+    def pass_on(self) -> None:
+        """Write the value as it arrives from now on, though it is not whole: it can't be held back longer."""
+        self._may_be_collected = False
+        if self.forwarding is Forwarding.STREAMED or self.complete or self.dropped:
+            return
+        if self.forwarding is Forwarding.WAITING:
+            self.buffer_budget.collections.leave(self)
+        self.forwarding = Forwarding.STREAMED
+        if self.on_capacity is not None:
+            self.on_capacity()
+        self.on_data()
+
     def start_collecting(self) -> None:
         """See `Collectable`."""
         self.forwarding = Forwarding.COLLECTED
@@ -187,6 +212,7 @@
         """Add bytes received from the backend."""
         self._pieces.append(data)
         self._buffered_bytes += len(data)
+        self._received_bytes += len(data)
         self.on_data()
 
     def take(self) -> bytes:
--- a/switchline/requests/lifecycle.py
+++ b/switchline/requests/lifecycle.py
@@ -162,9 +162,15 @@
             self.send_event(api.RequestAbandoned(request.id))
 
     def _expire_collection(self, request: Request, response: StreamedResponse) -> None:
-        """Give up a long answer that is being collected or waits for that: none of it is written yet."""
+        """Give up a long answer that is being collected or waits for that: none of it is written yet.
+
+        One that its backend goes on sending is passed on instead, as its first bytes are due now.
+        """
         if response.complete:
             return
+        if response.is_arriving and request.slot.is_due:
+            response.pass_on()
+            return
         if response.forwarding is Forwarding.WAITING:
             log.warning(log_events.ANSWER_NOT_COLLECTED, request.id, response.length_bytes)
             self.give_up_attempts(request, api.Outcome.CANCELLED)
@@ -232,8 +238,8 @@
         """Answer all requests in flight because the process ends, and reject those that arrive later."""
         self.is_shutting_down = True
         for request_id, request in list(self.in_flight.items()):
-            if request.response is not None and request.response.complete:
-                continue  # its client is reading the answer, and answers of other requests may follow
+            if request.response is not None and (request.response.complete or request.response.started):
+                continue  # its client is reading the answer
             if request.sent_at_ms or any(attempt.connection for attempt in request.in_flight.values()):
                 self.fail(request_id)
             else:  # no byte of the request has been sent to a backend
--- a/switchline/service/drain.py
+++ b/switchline/service/drain.py
@@ -5,7 +5,7 @@
 another process has taken over. It goes on accepting connections for `DRAIN_NOTICE_S`, until the front has
 noticed, and then answers the requests in flight. Those still in flight after `max_drain_s`, which depends on
 the longest deadline in the settings, are failed: SIGKILL would end the process without an answer to them.
-Slow clients go on reading their answers until then and later, as long as any client may still wait.
+Answers that are being passed on go on until then and later: the end of the process would cut them off.
 """
 
 from __future__ import annotations
@@ -30,6 +30,7 @@
 KILL_MARGIN_S = 0.7
 ABORT_BEFORE_KILL_S = 0.3  # the requests still in flight are failed this long before SIGKILL may come
 LAST_ANSWERS_TIMEOUT_S = 0.15  # for sending the answers of the requests that were failed
+MAX_DELIVERY_S = 30.0  # from SIGTERM until answers are cut off, if no SIGKILL comes before
 
 
 class ClientIntake:
@@ -90,7 +91,7 @@
                 await clients.wait_until_empty()
         except TimeoutError:
             await self._abort()
-            await self._finish_delivery(begun_s + self.max_deadline_s())
+            await self._finish_delivery(begun_s + MAX_DELIVERY_S)
 
     async def _abort(self) -> None:
         """Fail the requests still in flight; give their answers `LAST_ANSWERS_TIMEOUT_S` to be sent."""
@@ -102,17 +103,13 @@
                 await self.parts.clients.wait_until_empty()
 
     async def _finish_delivery(self, until_s: float) -> None:
-        """Let slow clients read their answers until `until_s`: the end of the process would reset them."""
+        """Pass answers that have begun on, and let slow clients read them, until `until_s`."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(until_s):
                 await self.parts.clients.wait_until_delivered()
 
-    def max_deadline_s(self) -> float:
-        """Return the longest deadline of a class: after it, no client waits for a request made before."""
-        classes = self.parts.config.settings.classes
-        return max((request_class.deadline_ms for request_class in classes), default=0.0) / 1000
-
     def max_drain_s(self) -> float:
         """Return the seconds from SIGTERM until the requests still in flight are failed, ahead of SIGKILL."""
-        max_deadline_s = self.max_deadline_s() or math.inf
-        return min(max_deadline_s, MAX_DEADLINE_S) + KILL_MARGIN_S - ABORT_BEFORE_KILL_S
+        classes = self.parts.config.settings.classes
+        max_deadline_ms = max((request_class.deadline_ms for request_class in classes), default=math.inf)
+        return min(max_deadline_ms / 1000, MAX_DEADLINE_S) + KILL_MARGIN_S - ABORT_BEFORE_KILL_S
--- a/tests/clients/test_long_answers.py
+++ b/tests/clients/test_long_answers.py
@@ -15,6 +15,7 @@
 from switchline.backends import pool
 from switchline.net import memory
 from switchline.net.streams import StreamedResponse
+from switchline.service import drain
 from testbed.network.sockets import Peer, encode, reset, until
 from testbed.stand_ins.backends import Backend
 from testbed.stand_ins.single_gateway import World, in_loop, request, running
@@ -133,6 +134,59 @@
     in_loop(scenario)
 
 
+class SlowWriter(Backend):
+    """Writes a long value in pieces over `duration_s`."""
+
+    def __init__(self, duration_s: float) -> None:
+        super().__init__()
+        self.duration_s = duration_s
+
+    async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        peer = Peer(reader, writer)
+        pieces = 50
+        size = len(LONG_REPLY) // pieces + 1
+        while (command := await peer.receive()) is not None:
+            if not command[2].startswith(b"long"):
+                writer.write(SHORT_REPLY)
+                continue
+            for start in range(0, len(LONG_REPLY), size):
+                writer.write(LONG_REPLY[start : start + size])
+                await asyncio.sleep(self.duration_s / pieces)
+
+
+# Guards against: a long answer that is held back for others behind it is cut off or late at its first bytes,
+# while its backend goes on writing it (lost requests, picture d).
+@pytest.mark.parametrize("wait", [500, 8000])
+def test_long_answer_that_a_backend_writes_slowly_is_passed_on_in_time(wait: int) -> None:
+    async def scenario() -> None:
+        async with running(World(SlowWriter(3.0))) as world:
+            peer = await world.client()
+            peer.send(*request(b"long", wait=wait))
+            peer.send(*request(b"order", wait=8000, name=b"wipe"))
+            async with asyncio.timeout(2.0):  # holding the rest back for 2 s loses the request
+                peer.resp.feed(await peer.reader.read(1000))
+            assert [await peer.receive(), await peer.receive()] == [LONG_VALUE, b"value"]
+
+    in_loop(scenario)
+
+
+# Guards against: the end of the process cuts off a long answer that a backend still writes.
+def test_end_of_the_process_does_not_cut_a_long_answer_off_that_is_passed_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(drain, "MAX_DEADLINE_S", 0.0)
+
+    async def scenario() -> None:
+        async with running(World(SlowWriter(1.5))) as world:
+            peer = await world.client()
+            peer.send(*request(b"long"))
+            peer.resp.feed(await peer.reader.read(1000))
+            world.stop.set()
+            assert await peer.receive() == LONG_VALUE
+
+    in_loop(scenario)
+
+
 def test_command_that_arrives_within_a_long_answer_is_not_read_before_its_end() -> None:
     """The answer to it would be lost if the long answer was cut off, which closes the connection."""
 
