A long answer counts as silent after 0.2 s without a byte, not by checks

Seen: test_long_answer_that_a_backend_writes_slowly_is_passed_on_in_time[500] failed once beside other tests: the answer failed at its deadline.

Cause: whether it was arriving was judged since the last check, which may have been less than the pause between two pieces (60 ms) ago.

Change: the time of the last byte decides.

--- a/switchline/clients/answers.py
+++ b/switchline/clients/answers.py
@@ -102,10 +102,8 @@
         response = self._current_response
         is_held = response is not None and response.forwarding is not Forwarding.STREAMED
         is_held_too_long = self.collection.is_held_too_long(now_s, is_held)
-        if response is not None and is_held:
-            if is_held_too_long and response.is_arriving:
-                response.pass_on()
-            response.check()
+        if response is not None and is_held_too_long and response.is_arriving:
+            response.pass_on()
 
     def update_memory_use(self) -> None:
         """Report the bytes of answers to the ledger. Those in the transport become fewer without an event."""
--- a/switchline/net/streams.py
+++ b/switchline/net/streams.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import deque
 from collections.abc import Callable
 from enum import Enum, auto
@@ -17,6 +18,7 @@
 BUFFER_SHARE_RATIO = 1 / 16
 MIN_WINDOW_BYTES = 8 * 1024
 MAX_WINDOW_BYTES = 64 * 1024
+ARRIVING_S = 0.2  # a value without a byte for longer counts as silent
 CRLF = b"\r\n"
 
 
@@ -145,8 +147,7 @@
         self.started = False  # whether bytes have been taken for writing
         self.dropped = False
         self._may_be_collected = True
-        self._received_bytes = 0
-        self._checked_bytes = 0  # number of bytes that had been received at the last check
+        self._last_received_s = time.monotonic()
         self.on_capacity: Callable[[], None] | None = None  # called when reading from the backend may resume
         self.complete = False  # whether the backend has sent the whole value
         header = b"$%d" % length_bytes + CRLF
@@ -183,12 +184,8 @@
 
     @property
     def is_arriving(self) -> bool:
-        """Whether the backend has sent bytes since the last check."""
-        return self._received_bytes > self._checked_bytes
-
-    def check(self) -> None:
-        """Note how much has been received; called from time to time."""
-        self._checked_bytes = self._received_bytes
+        """Whether the backend has sent bytes within `ARRIVING_S`."""
+        return time.monotonic() - self._last_received_s <= ARRIVING_S
 
     def pass_on(self) -> None:
         """Write the value as it arrives from now on, though it is not whole: it can't be held back longer."""
@@ -212,7 +209,7 @@
         """Add bytes received from the backend."""
         self._pieces.append(data)
         self._buffered_bytes += len(data)
-        self._received_bytes += len(data)
+        self._last_received_s = time.monotonic()
         self.on_data()
 
     def take(self) -> bytes:
