The time of a long request counts from its last byte, also if it is read late

Cause: the time counted from when the gateway read the last byte; a body is read as fast as its backend reads it, so its last byte may lie in the system.

Change: the system is asked how much has arrived; the latest time at which something was missing counts, and a request whose client has given up fails while its body is still read.

--- a/switchline/clients/bodies.py
+++ b/switchline/clients/bodies.py
@@ -7,6 +7,7 @@
 
 from switchline.clients.dispatch import begins_request, dispatch
 from switchline.clients.slot import Slot
+from switchline.clock import now_ms
 from switchline.net.resp import INCOMPLETE, ProtocolError, StreamedStringStarted
 from switchline.net.streams import StreamedRequestBody
 
@@ -14,6 +15,8 @@
     from switchline.clients.connection import ClientConnection
 
 MAX_PIECE_BYTES = 64 * 1024
+# With fewer bytes unread, the system takes more from the client at once: it has written no others.
+MAX_OPEN_WINDOW_BYTES = 32 * 1024
 
 
 class BodyReceiver:
@@ -40,6 +43,7 @@
         connection.receiving.record_stream_start(time.monotonic())
         body = self.body = StreamedRequestBody(connection.server.buffer_budget, started.length_bytes)
         body.on_capacity = connection.pump
+        body.incomplete_at_ms = connection.received_at_ms
         self.slot = dispatch(connection, [*started.items, b""], body)
         if self.slot is None or self.slot.request_id is None:
             body.drop()  # the request has its answer already; the rest of its value is discarded
@@ -59,6 +63,22 @@
             body.end()
         return True
 
+    def check_arrival(self, unread_bytes: int) -> None:
+        """Note the time if the client has not written the last byte of the value yet.
+
+        If the value is read slowly, as its backend is slow, its last byte may have been written long before
+        it is read.
+
+        Args:
+            unread_bytes: number of bytes that have arrived at the socket and are not read yet.
+        """
+        body = self.body
+        if body is None:
+            return
+        arrived_bytes = body.received_bytes + len(self.connection.parser.buffer) + unread_bytes
+        if arrived_bytes < body.length_bytes and unread_bytes < MAX_OPEN_WINDOW_BYTES:
+            body.incomplete_at_ms = now_ms()
+
     def discard(self) -> None:
         """Discard the value, as its client has gone or its request has failed."""
         body = self.body
--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -187,6 +187,7 @@
                 self._process_slice()
         finally:
             self._pumping = False
+        self.check_body_arrival()
         if self.transport is not None and not self.slots and (self.closing or self.closes_for_drain()):
             self.close_gracefully()
         elif self.surplus and not self.validated and self.streamed_body is None:
@@ -420,6 +421,11 @@
         """Whether the socket has received bytes that this process has not read yet."""
         return self._socket is not None and self._socket.has_unread_bytes
 
+    def check_body_arrival(self) -> None:
+        """Note whether the client has written the last byte of a long value that is arriving."""
+        if self.streamed_body is not None and self._socket is not None:
+            self.bodies.check_arrival(self._socket.unread_bytes)
+
     @property
     def undelivered_bytes(self) -> int:
         """Number of bytes written to this connection that the peer's system has not received yet."""
--- a/switchline/net/socket_state.py
+++ b/switchline/net/socket_state.py
@@ -67,6 +67,15 @@
     return int.from_bytes(count, sys.byteorder)
 
 
+def unread_bytes(fd: int) -> int:
+    """Return how many bytes have arrived at a socket and are not read yet; 0 if the system can't tell."""
+    try:
+        count = fcntl.ioctl(fd, termios.FIONREAD, NO_COUNT)
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
 def drop_unacknowledged(sock: socket.socket) -> None:
     """Let the close of a socket drop what the peer's system has not acknowledged, instead of sending it."""
     try:
--- a/switchline/net/streams.py
+++ b/switchline/net/streams.py
@@ -65,6 +65,8 @@
         self.dropped = False  # whether the rest of the value is not needed
         self.on_data: Callable[[], None] | None = None  # called when bytes for the attempt have arrived
         self.on_capacity: Callable[[], None] | None = None  # called when reading from the client may resume
+        # The latest time, by `now_ms`, at which the client had certainly not written the last byte yet.
+        self.incomplete_at_ms = 0.0
         self._buffer_start = 0  # offset in the value of the buffer's first byte
         buffer_budget.active_values += 1
 
--- a/switchline/net/transport_state.py
+++ b/switchline/net/transport_state.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from switchline.net.socket_state import has_failed, has_unread_bytes, peer_has_closed, unacknowledged_bytes
+from switchline.net.socket_state import (
+    has_failed,
+    has_unread_bytes,
+    peer_has_closed,
+    unacknowledged_bytes,
+    unread_bytes,
+)
 
 Answer = TypeVar("Answer", bool, int)
 
@@ -31,6 +37,11 @@
         """Whether the socket has received bytes that are not read yet; True if the system can't tell."""
         return self._query(has_unread_bytes, False, if_unavailable=True)
 
+    @property
+    def unread_bytes(self) -> int:
+        """The number of bytes that have arrived and are not read yet; 0 if the system can't tell."""
+        return self._query(unread_bytes, 0, if_unavailable=0)
+
     @property
     def undelivered_bytes(self) -> int:
         """The number of written bytes that the peer's system has not received: here or in this system.
--- a/switchline/requests/lifecycle.py
+++ b/switchline/requests/lifecycle.py
@@ -11,7 +11,7 @@
 from switchline.clock import now_ms
 from switchline.net.descriptors import DescriptorOwner
 from switchline.net.memory import ANSWER_RESERVE_BYTES, MemoryEntry, MemoryUse
-from switchline.net.streams import Forwarding, StreamedResponse
+from switchline.net.streams import Forwarding, StreamedRequestBody, StreamedResponse
 from switchline.operators.metrics import OutcomeKind
 from switchline.policy import interface as api
 from switchline.policy.quota.fair_shares import PRESSURE_RATIO, FairShares
@@ -27,6 +27,7 @@
 CAPACITY_RETRY_AFTER_MS = 200
 # The policy answers a request that has already expired with a timer of 0 ms, before the request is failed.
 DECISION_TIME_MS = 1.0
+BODY_CHECK_INTERVAL_MS = 50.0
 # Limit of requests in flight for each backend connection in the budget; one of the two waits.
 REQUESTS_PER_CONNECTION = 2
 
@@ -85,8 +86,13 @@
             command, slot, request_class, event.expires_ms, MemoryEntry(self.ledger, MemoryUse.REQUESTS)
         )
         request.memory.set(held_bytes)
-        due_ms = max(request.expires_at_ms, now_ms() + DECISION_TIME_MS)
-        request.expiry_timer = self.timers.at(due_ms, partial(self._on_expired, request))
+        if command.streamed_body is None:
+            due_ms = max(request.expires_at_ms, now_ms() + DECISION_TIME_MS)
+            request.expiry_timer = self.timers.at(due_ms, partial(self._on_expired, request))
+        else:
+            request.expiry_timer = self.timers.at(
+                request.body_due_ms, partial(self._check_body, request, command.streamed_body)
+            )
         self.send_event(event)
 
     def _fail_repeated(self, class_name: str, slot: Slot) -> None:
@@ -130,15 +136,13 @@
 
         The client's timeout may start at the first byte or at the last byte of the command. A client that is
         still sending has not given up, so if the timeout from the first byte has passed, it is counted from
-        the last byte.
+        the last byte: from the latest time at which it was certainly not written yet.
         """
         request = self.in_flight.get(request_id)
         now = now_ms()
         if request is None or request.streaming_attempt is not None:
             return
-        wait_ms = min(request.command.time_left_ms, MAX_CLIENT_WAIT_MS)
-        expires_by_first_byte_ms = request.arrived_at_ms + wait_ms
-        request.expires_at_ms = expires_by_first_byte_ms if now < expires_by_first_byte_ms else now + wait_ms
+        request.expires_at_ms = max(request.body_due_ms, now + DECISION_TIME_MS)
         if request.expiry_timer is not None:
             request.expiry_timer.cancel()
         request.expiry_timer = self.timers.at(request.expires_at_ms, partial(self._on_expired, request))
@@ -146,6 +150,17 @@
             attempt.expires_at_ms = request.expires_at_ms
         self.send_event(api.RequestBodyReceived(request_id, request.expires_at_ms))
 
+    def _check_body(self, request: Request, body: StreamedRequestBody) -> None:
+        """Fail a request whose client has given up while its backend still reads the body."""
+        if self.in_flight.get(request.id) is not request or body.complete:
+            return
+        if request.response is not None or now_ms() < request.body_due_ms:
+            due_ms = max(request.body_due_ms, now_ms() + BODY_CHECK_INTERVAL_MS)
+            request.expiry_timer = self.timers.at(due_ms, partial(self._check_body, request, body))
+            return
+        self.fail(request.id)
+        self.send_event(api.RequestAbandoned(request.id))
+
     def _on_expired(self, request: Request) -> None:
         """End the attempts of an expired request, after which the policy gives the final answer.
 
--- a/switchline/requests/request.py
+++ b/switchline/requests/request.py
@@ -12,6 +12,7 @@
 from switchline.net.memory import MemoryEntry
 from switchline.net.streams import StreamedResponse
 from switchline.policy import interface as api
+from switchline.requests.arrivals import MAX_CLIENT_WAIT_MS
 
 # No retry is sent this close to the end of an idempotency key's window: it takes up to this time to arrive.
 RETRY_MARGIN_MS = 50.0
@@ -58,6 +59,20 @@
         """When the command's first arguments arrived, in Unix milliseconds."""
         return self.command.received_at_ms
 
+    @property
+    def body_due_ms(self) -> float:
+        """When the client gives up, as far as is known while a streamed body arrives, in Unix milliseconds.
+
+        Its timeout counts from the first byte, or from the last one if that is not written in time.
+        """
+        body = self.command.streamed_body
+        incomplete_at_ms = body.incomplete_at_ms if body is not None else 0.0
+        wait_ms = min(self.command.time_left_ms, MAX_CLIENT_WAIT_MS)
+        expires_by_first_byte_ms = self.arrived_at_ms + wait_ms
+        if incomplete_at_ms < expires_by_first_byte_ms:
+            return expires_by_first_byte_ms
+        return incomplete_at_ms + wait_ms
+
     @property
     def body_discarded(self) -> bool:
         """Whether the beginning of a streamed body is discarded, so that no further attempt can send it."""
--- a/tests/backends/test_backends.py
+++ b/tests/backends/test_backends.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+from types import SimpleNamespace
 from typing import cast
 
 import pytest
@@ -17,7 +18,7 @@
 from switchline.net.descriptors import Budget
 from switchline.net.idle import EVIDENCE_DECAY_MS, IdleTimes
 from switchline.policy.interface import BackendState, Outcome
-from testbed.network.sockets import LINGER, LOCAL, Peer, Reply, Server, until
+from testbed.network.sockets import LINGER, LOCAL, Peer, Reply, Server, encode, until
 from testbed.stand_ins.backends import Backend
 from testbed.stand_ins.single_gateway import World, in_loop, request, running
 
@@ -505,3 +506,37 @@
             assert backend.read_bytes[0] < len(body)
 
     in_loop(scenario)
+
+
+class SmallBufferSocket(socket.socket):
+    """A socket whose system holds little of what is written to it."""
+
+    def __init__(self, *arguments: int) -> None:
+        super().__init__(*arguments)
+        self.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16 * 1024)
+
+
+# Guards against: the time of a request counts from when the gateway reads its last byte, seconds after its
+# client wrote it, if its backend reads slowly (lost requests, picture d).
+def test_request_that_a_backend_reads_slowly_is_answered_in_the_time_of_its_client(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    sockets = SimpleNamespace(**{**vars(socket), "socket": SmallBufferSocket})
+    monkeypatch.setattr(connection_module, "socket", sockets)
+    body = b"x" * 600_000  # more than the gateway and the systems behind it take
+
+    async def scenario() -> None:
+        backend = LateReader()
+        async with running(World(backend)) as world:
+            with socket.socket() as client:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * len(body))
+                client.setblocking(False)
+                loop = asyncio.get_running_loop()
+                await loop.sock_connect(client, (LOCAL, world.port))
+                await loop.sock_sendall(client, encode(*request(b"order", name=b"wipe", wait=700, body=body)))
+                written_s = loop.time()
+                loop.call_later(2.0, backend.may_read.set)
+                answer = await loop.sock_recv(client, 100)
+                assert loop.time() - written_s <= 0.7 + 0.05 and not answer.startswith(b"$")
+
+    in_loop(scenario)
