One size of a read for all sockets, and one replay of recordings

Need: the size of a read stood in three places, the replay of recorded decisions in two since they can be recorded again.

Change: MAX_READ_BYTES in net/memory.py; replay() in test_recorded_decisions.py.

--- a/switchline/backends/connection.py
+++ b/switchline/backends/connection.py
@@ -19,7 +19,7 @@
 from switchline.clock import now_ms
 from switchline.net.idle import IMMEDIATE_RESET_MS
 from switchline.net.listen import close_socket
-from switchline.net.memory import MAX_VALUE_BYTES, STREAMING_THRESHOLD_BYTES
+from switchline.net.memory import MAX_READ_BYTES, MAX_VALUE_BYTES, STREAMING_THRESHOLD_BYTES
 from switchline.net.resp import (
     CRLF,
     INCOMPLETE,
@@ -40,7 +40,6 @@
 
 log = logging.getLogger(__name__)
 
-READ_BYTES = 64 * 1024
 MAX_READS_PER_EVENT = 16  # then other connections have their turn
 # The transfer of a long value is aborted if the backend makes no progress for this time while the gateway is
 # ready to send or receive.
@@ -289,7 +288,7 @@
         """Read and process the bytes that are available, up to a limit; return whether there were any."""
         streaming = self._answer is not None
         try:
-            data = self.socket.recv(self.pool.buffer_budget.window_bytes if streaming else READ_BYTES)
+            data = self.socket.recv(self.pool.buffer_budget.window_bytes if streaming else MAX_READ_BYTES)
         except (BlockingIOError, InterruptedError):
             return False
         except OSError:
@@ -342,7 +341,7 @@
 
     def _forward(self, answer: StreamedResponse) -> bool:
         """Forward one piece of a long answer; return whether to continue."""
-        piece = self._parser.read_streamed(READ_BYTES)
+        piece = self._parser.read_streamed(MAX_READ_BYTES)
         if not piece:
             return False
         self._last_progress_ms = now_ms()
--- a/switchline/clients/bodies.py
+++ b/switchline/clients/bodies.py
@@ -8,13 +8,13 @@
 from switchline.clients.dispatch import begins_request, dispatch
 from switchline.clients.slot import Slot
 from switchline.clock import now_ms
+from switchline.net.memory import MAX_READ_BYTES
 from switchline.net.resp import INCOMPLETE, ProtocolError, StreamedStringStarted
 from switchline.net.streams import StreamedRequestBody
 
 if TYPE_CHECKING:
     from switchline.clients.connection import ClientConnection
 
-MAX_PIECE_BYTES = 64 * 1024
 # With fewer bytes unread, the system takes more from the client at once: it has written no others.
 MAX_OPEN_WINDOW_BYTES = 32 * 1024
 
@@ -51,7 +51,7 @@
     def receive(self, body: StreamedRequestBody) -> bool:
         """Pass one piece of the value on; return False if no bytes of it have arrived."""
         parser = self.connection.parser
-        if piece := parser.read_streamed(MAX_PIECE_BYTES):
+        if piece := parser.read_streamed(MAX_READ_BYTES):
             self.connection.receiving.last_received_s = time.monotonic()
             body.feed(piece)
         elif parser.streamed_remaining_bytes > 0 or parser.next_value() is INCOMPLETE:
--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -37,7 +37,6 @@
 MAX_PIPELINED_COMMANDS = 32
 MAX_COMMAND_BYTES = STREAMING_THRESHOLD_BYTES + MAX_COMMAND_HEAD_BYTES  # without a streamed value
 MAX_ARGUMENTS = 16  # a request has at most five, and the set-up commands of client libraries few more
-READ_BUFFER_BYTES = 64 * 1024
 WAITING_READ_BYTES = 2 * 1024  # of what has to wait for its turn; it holds most requests without a value
 # Bytes that are read and discarded after the last command. A peer that sends more is read no further while
 # answers are due, and disconnected after the last one.
--- a/switchline/clients/server.py
+++ b/switchline/clients/server.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from switchline.clients.commands import Command
-from switchline.clients.connection import READ_BUFFER_BYTES, ClientConnection
+from switchline.clients.connection import ClientConnection
 from switchline.clients.places import ConnectionPlaces
 from switchline.clients.slot import Slot
 from switchline.clients.supervision import LINGER_TIMEOUT_S, check_connection
@@ -16,6 +16,7 @@
 from switchline.guard import Guard
 from switchline.net.accept import Acceptor
 from switchline.net.descriptors import Budget, DescriptorOwner
+from switchline.net.memory import MAX_READ_BYTES
 from switchline.net.streams import BufferBudget
 from switchline.operators.metrics import Metrics
 
@@ -73,7 +74,7 @@
         self.metrics = metrics
         self.guard = guard or Guard()
         self.turns = Turns(self.guard)
-        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # shared: each read is parsed at once
+        self.read_buffer = memoryview(bytearray(MAX_READ_BYTES))  # shared: each read is parsed at once
         self.connections: set[ClientConnection] = set()
         self.places = ConnectionPlaces(budget, metrics)
         self.empty = asyncio.Event()  # set while there is no connection
--- a/switchline/net/memory.py
+++ b/switchline/net/memory.py
@@ -13,6 +13,7 @@
 
 KIBIBYTE = 1024
 MEBIBYTE = 1024 * KIBIBYTE
+MAX_READ_BYTES = 64 * KIBIBYTE  # of one read from a socket
 # A value up to this length is buffered completely; a longer one is streamed.
 STREAMING_THRESHOLD_BYTES = 64 * KIBIBYTE
 MAX_VALUE_BYTES = 4 * MEBIBYTE
--- a/tests/recordings/record_again.py
+++ b/tests/recordings/record_again.py
@@ -11,27 +11,15 @@
 
 import neutral_form
 from neutral_form import Neutral
-from test_recorded_decisions import RECORDED, handle_line, lines
-
-from switchline.policy.gateway import Gateway
+from test_recorded_decisions import OUTCOME_NAMES, RECORDED, replay
 
 
 def recorded_again(scene: str) -> list[Neutral]:
     """Return the lines of a scene with the present actions and statuses."""
-    gateways: dict[str, Gateway] = {}
     result: list[Neutral] = []
-    for line in lines(scene):
-        process = line["process"]
-        if "settings" in line:
-            gateways[process] = Gateway(neutral_form.decode_settings(line["settings"]), line["seed"])
-        elif "ended" in line:
-            del gateways[process]
-        elif "status" in line:
-            line = {**line, "status": neutral_form.encode_status(gateways[process], line["at_ms"])}
-        else:
-            event = {name: value for name, value in line.items() if name not in ("actions", "refused")}
-            line = event | handle_line(gateways[process], line)
-        result.append(line)
+    for line, replayed in replay(scene):
+        kept = {name: value for name, value in line.items() if name not in OUTCOME_NAMES}
+        result.append(kept | replayed)
     return result
 
 
--- a/tests/recordings/test_recorded_decisions.py
+++ b/tests/recordings/test_recorded_decisions.py
@@ -29,6 +29,7 @@
 SCENES = ["zones", "quotas", "durable_state", "upgrade", "power_loss", "streamed_requests", "large_fleet"]
 # Scenes in which a new gateway gets the records of `tests/recorded/stored/`.
 STORED_SCENES = ["stored_state_after_drain", "stored_state_after_kill", "stored_handover"]
+OUTCOME_NAMES = ("actions", "refused", "status")
 # Errors by which the policy refuses a record that is not valid; the driver handles them.
 REFUSAL = (ValueError, TypeError, OverflowError)
 
@@ -68,22 +69,28 @@
     return {"actions": [neutral_form.encode_action(action) for action in actions]}
 
 
-@pytest.mark.parametrize("scene", SCENES + STORED_SCENES)
-def test_each_event_of_a_recording_gives_the_recorded_actions(scene: str) -> None:
+def replay(scene: str) -> Iterator[tuple[Neutral, Neutral]]:
+    """Yield each line of a recording, and what the present policy gives for it: a status, or an outcome."""
     gateways: dict[str, Gateway] = {}
-    for number, line in enumerate(lines(scene), 1):
+    for line in lines(scene):
         process = line["process"]
+        replayed: Neutral = {}
         if "settings" in line:
             gateways[process] = Gateway(neutral_form.decode_settings(line["settings"]), line["seed"])
         elif "ended" in line:
             del gateways[process]
         elif "status" in line:
-            status = neutral_form.encode_status(gateways[process], line["at_ms"])
-            assert neutral_form.line(status) == neutral_form.line(line["status"]), f"{scene}, line {number}"
+            replayed = {"status": neutral_form.encode_status(gateways[process], line["at_ms"])}
         else:
-            recorded = {name: line[name] for name in ("actions", "refused") if name in line}
             replayed = handle_line(gateways[process], line)
-            assert comparable(replayed) == comparable(recorded), f"{scene}, line {number}: {line}"
+        yield line, replayed
+
+
+@pytest.mark.parametrize("scene", SCENES + STORED_SCENES)
+def test_each_event_of_a_recording_gives_the_recorded_actions(scene: str) -> None:
+    for number, (line, replayed) in enumerate(replay(scene), 1):
+        recorded = {name: line[name] for name in OUTCOME_NAMES if name in line}
+        assert comparable(replayed) == comparable(recorded), f"{scene}, line {number}: {line}"
 
 
 def test_the_recordings_hold_every_event_and_action() -> None:
