The end of a client's connection has a module and an owner of its state

Need: clients/connection.py had grown to 452 lines, with the states of the end among reading and answering.

Change: ConnectionEnd in clients/ending.py owns the state, the half-close and what is discarded; clients/connection.py has 355 lines. Behaviour is the same.

--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -5,16 +5,16 @@
 import asyncio
 import logging
 import time
-from enum import IntEnum, auto
 from typing import TYPE_CHECKING, cast
 
 from switchline.clients.answers import AnswerWriter
 from switchline.clients.bodies import BodyReceiver
 from switchline.clients.dispatch import dispatch
+from switchline.clients.ending import ConnectionEnd, ConnectionState
 from switchline.clients.slot import Slot
 from switchline.clients.watchdog import ReceiveWatch
 from switchline.clock import now_ms
-from switchline.guard import Guard, Invariant
+from switchline.guard import Guard
 from switchline.net.memory import (
     MAX_COMMAND_HEAD_BYTES,
     MAX_VALUE_BYTES,
@@ -38,22 +38,6 @@
 MAX_COMMAND_BYTES = STREAMING_THRESHOLD_BYTES + MAX_COMMAND_HEAD_BYTES  # without a streamed value
 MAX_ARGUMENTS = 16  # a request has at most five, and the set-up commands of client libraries few more
 WAITING_READ_BYTES = 2 * 1024  # of what has to wait for its turn; it holds most requests without a value
-# Bytes that are read and discarded after the last command. A peer that sends more is read no further while
-# answers are due, and disconnected after the last one.
-MAX_DISCARDED_BYTES = 256 * 1024
-
-
-class ConnectionState(IntEnum):
-    """States of a connection, in the order SERVING, CLOSING, HALF_CLOSED. In each it may be lost.
-
-    SERVING: commands are read and answered.
-    CLOSING: no further command is answered; earlier ones still are.
-    HALF_CLOSED: the last answer and the end of the stream are written; the peer may read them and close.
-    """
-
-    SERVING = auto()
-    CLOSING = auto()
-    HALF_CLOSED = auto()
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -65,7 +49,7 @@
 
     def __init__(self, server: ClientServer) -> None:
         self.server = server
-        self.state = ConnectionState.SERVING
+        self.end = ConnectionEnd(self)
         self.transport: asyncio.Transport | None = None
         self._socket: TransportState | None = None
         self.lost = False  # the connection has ended, closed by either side
@@ -89,9 +73,6 @@
         self.virtual_time_s = 0.0
         self._has_unparsed_bytes = False  # bytes were received that may contain a complete command
         self._pumping = False  # `pump` is running; prevents recursion
-        # While half-closed: the last time at which the peer's system had not received everything.
-        self.linger_started_at_s = 0.0
-        self._discarded_bytes = 0  # number of bytes received after the last command that is answered
 
     @property
     def guard(self) -> Guard:
@@ -106,7 +87,7 @@
     @property
     def closing(self) -> bool:
         """Whether the connection answers no further command."""
-        return self.state >= ConnectionState.CLOSING
+        return self.end.has_begun
 
     # ---- called by the event loop ----
 
@@ -126,13 +107,13 @@
         self.lost = True
         self.server.on_connection_lost(self)
         self.answers.detach()
-        self._abandon_requests()
+        self.abandon_requests()
         self.update_memory_use()
 
     def pause_writing(self) -> None:
         """See asyncio.BaseProtocol. Reading pauses too: answers to further commands would fill memory."""
         self.answers.paused = True
-        self._update_reading()
+        self.update_reading()
 
     def resume_writing(self) -> None:
         """See asyncio.BaseProtocol."""
@@ -157,7 +138,7 @@
     def data_received(self, data: bytes | memoryview) -> None:
         """Parse the bytes that have arrived, and answer the commands in them."""
         if self.closing:
-            self._discard(len(data))  # no further command is answered, and the bytes must not fill memory
+            self.end.discard(len(data))  # no further command is answered, and the bytes must not fill memory
             return
         self.received_at_ms = now_ms()
         self.continues_command = not self.waits_for_turn and self.parser.has_partial_value()
@@ -188,11 +169,11 @@
             self._pumping = False
         self.check_body_arrival()
         if self.transport is not None and not self.slots and (self.closing or self.closes_for_drain()):
-            self.close_gracefully()
+            self.end.close_gracefully()
         elif self.surplus and not self.validated and self.streamed_body is None:
             self.server.places.evict(self, EvictionReason.NO_EVICTABLE_CONNECTION)
         self.update_memory_use()
-        self._update_reading()
+        self.update_reading()
 
     def _write_answers(self) -> None:
         if self.answers.write():
@@ -278,11 +259,11 @@
             self._held_commands.set(held_bytes)
         self.answers.update_memory_use()
 
-    def _update_reading(self) -> None:
+    def update_reading(self) -> None:
         """Pause or resume reading. After the last command reading goes on, to discard further bytes."""
         if self.transport is None or self.transport.is_closing():
             return
-        pause = self._discarded_bytes > MAX_DISCARDED_BYTES if self.closing else self._is_blocked()
+        pause = self.end.reads_no_further if self.closing else self._is_blocked()
         if pause == self.reading_paused:
             return
         self.reading_paused = pause
@@ -301,7 +282,7 @@
         Args:
             reason: what broke the protocol, for the log.
         """
-        self.begin_closing()
+        self.end.begin()
         self.parser.discard()
         slot = self.bodies.abandon() if self.streamed_body is not None else Slot(self)
         if slot is not None:
@@ -313,84 +294,7 @@
 
     # ---- the end ----
 
-    def begin_closing(self) -> None:
-        """Answer no further command; earlier ones still get their answers."""
-        self.state = max(self.state, ConnectionState.CLOSING)
-
-    def close(self) -> None:
-        """Close this connection. All closes by this side between answers go through here.
-
-        With a request in flight the connection stays open, as the answer would be lost; this is counted as a
-        violated invariant.
-        """
-        if self.transport is None or self.transport.is_closing():
-            return
-        open_requests = [slot.request_id for slot in self.slots if slot.request_id is not None]
-        if open_requests:
-            self.guard.record_violation(
-                Invariant.NO_UNANSWERED_CLOSE,
-                f"close refused with requests in flight: {', '.join(open_requests)}",
-            )
-            return
-        self.transport.close()
-
-    def end_in_answer(self) -> None:
-        """End this connection within a long answer that is cut off: only its end shows this to the client.
-
-        The answers before it still reach the client. No other command may have been read, as its answer is
-        lost; this is counted as a violated invariant.
-        """
-        if self.transport is None or self.transport.is_closing():
-            return
-        if self.answers.has_further_commands:
-            self.guard.record_violation(
-                Invariant.NO_UNANSWERED_CLOSE, f"answers due when one was cut off: {len(self.slots) - 1}"
-            )
-        log.info(
-            "connection ends within a long answer: client=%s undelivered=%d unread=%s",
-            self.peer_address,
-            self.undelivered_bytes,
-            self.has_unread_bytes,
-        )
-        self._abandon_requests()
-        self.close_gracefully()
-
-    def close_gracefully(self) -> None:
-        """Half-close the connection after its last answer, and close it once the peer has closed too.
-
-        Closing a socket resets the connection if bytes are unread or arrive later, and what the system still
-        holds of the answers is lost. So the connection stays half-closed until the peer's system has received
-        everything, and a little longer if there is a place for that.
-        """
-        self.begin_closing()
-        if self.transport is None or self.transport.is_closing():
-            return
-        if self.state is ConnectionState.HALF_CLOSED:
-            return
-        if not self.server.may_half_close(self):
-            self.close()
-            return
-        self.state = ConnectionState.HALF_CLOSED
-        self.linger_started_at_s = time.monotonic()
-        self.server.on_half_closed(self)
-        self._update_reading()
-        self.transport.write_eof()
-
-    def _discard(self, length: int) -> None:
-        """Discard bytes that arrive after the last command, up to a limit.
-
-        Reading goes on so that the close by the peer is noticed, and so that no unread bytes are left. They
-        would reset the connection before the peer has read its answers.
-        """
-        self._discarded_bytes += length
-        if self._discarded_bytes <= MAX_DISCARDED_BYTES or self.transport is None:
-            return
-        if self.state is ConnectionState.HALF_CLOSED and not self.undelivered_bytes:
-            self.close()
-        else:
-            self._update_reading()
-
-    def _abandon_requests(self) -> None:
+    def abandon_requests(self) -> None:
         """Abandon all requests of this connection, as no client waits for the answers."""
         slots = self.answers.abandon()
         self.bodies.discard()
@@ -411,8 +315,8 @@
             return True
         if self._socket is None or not self._socket.peer_has_closed:
             return False
-        self._abandon_requests()
-        self.close_gracefully()  # the client may have closed its sending side alone, and still read
+        self.abandon_requests()
+        self.end.close_gracefully()  # the client may have closed its sending side alone, and still read
         return True
 
     @property
@@ -446,6 +350,6 @@
     @property
     def may_be_evicted(self) -> bool:
         """Whether the connection may be closed at once, as that takes no command and no answer along."""
-        if self.state is ConnectionState.HALF_CLOSED:
+        if self.end.state is ConnectionState.HALF_CLOSED:
             return not self.undelivered_bytes
         return self.idle and not self.has_unread_bytes and not self.undelivered_bytes
--- a/switchline/clients/dispatch.py
+++ b/switchline/clients/dispatch.py
@@ -53,7 +53,7 @@
         slot.answer(OK)
     elif verb == b"QUIT":
         slot.answer(OK)
-        connection.begin_closing()
+        connection.end.begin()
     else:
         _reject_command(connection, slot, "unknown command", wait_started_at_s)
     return slot
--- a/switchline/clients/places.py
+++ b/switchline/clients/places.py
@@ -173,14 +173,14 @@
         log.info("client connection from %s is evicted, reason: %s", connection.peer_address, reason.value)
         self.remove(connection)
         if reason is EvictionReason.UNREAD_REPLIES:
-            connection.begin_closing()
+            connection.end.begin()
             if connection.transport is not None:
                 connection.transport.abort()  # it reads nothing, so no pending answer can reach it
         elif reason in CLOSED_AT_ONCE:
-            connection.begin_closing()
-            connection.close()
+            connection.end.begin()
+            connection.end.close()
         else:
-            connection.close_gracefully()
+            connection.end.close_gracefully()
 
     def gauges(self) -> dict[str, int]:
         """Number of connections by state, as metrics for operators."""
--- a/switchline/clients/slot.py
+++ b/switchline/clients/slot.py
@@ -76,4 +76,4 @@
             self.reply = reply
             self.connection.pump()
         else:
-            self.connection.end_in_answer()
+            self.connection.end.close_in_answer()
--- a/switchline/clients/supervision.py
+++ b/switchline/clients/supervision.py
@@ -4,8 +4,9 @@
 
 import logging
 
-from switchline.clients.connection import ClientConnection, ConnectionState
+from switchline.clients.connection import ClientConnection
 from switchline.clients.dispatch import is_request_head
+from switchline.clients.ending import ConnectionState
 from switchline.operators.metrics import EvictionReason
 
 log = logging.getLogger(__name__)
@@ -35,7 +36,7 @@
         unread_s = connection.answers.delivery.unread_s(now_s)
         log.warning("client has not read its answers for %.0f s; its connection is aborted", unread_s)
         connection.server.places.evict(connection, EvictionReason.UNREAD_REPLIES)
-    elif connection.state is ConnectionState.HALF_CLOSED:
+    elif connection.end.state is ConnectionState.HALF_CLOSED:
         check_half_closed(connection, now_s, undelivered_bytes)
     elif connection.closing:
         return  # its answers are due first
@@ -53,7 +54,7 @@
     """Whether the peer takes its answers too slowly, or not at all."""
     assert connection.transport is not None
     # In an open connection some bytes may always be on their way; those that wait here are limited in time.
-    half_closed = connection.state is ConnectionState.HALF_CLOSED
+    half_closed = connection.end.state is ConnectionState.HALF_CLOSED
     waiting_bytes = undelivered_bytes if half_closed else connection.transport.get_write_buffer_size()
     if is_streaming(connection):
         waiting_bytes = 0
@@ -63,11 +64,12 @@
 def check_half_closed(connection: ClientConnection, now_s: float, undelivered_bytes: int) -> None:
     """Close a half-closed connection once its answers have been delivered and the linger is over."""
     if undelivered_bytes:
-        connection.linger_started_at_s = now_s
+        connection.end.linger_started_at_s = now_s
     elif (
-        not connection.server.lingers(connection) or now_s - connection.linger_started_at_s > LINGER_TIMEOUT_S
+        not connection.server.lingers(connection)
+        or now_s - connection.end.linger_started_at_s > LINGER_TIMEOUT_S
     ):
-        connection.close()
+        connection.end.close()
 
 
 def close_if_unused(connection: ClientConnection, now_s: float) -> None:
--- a/tests/clients/test_ends_of_connections.py
+++ b/tests/clients/test_ends_of_connections.py
@@ -13,9 +13,8 @@
 from gateway_process import connect_client, program
 from slow_reader import SlowReader
 
-from switchline.clients import connection as connections
+from switchline.clients import ending, supervision
 from switchline.clients import server as clients
-from switchline.clients import supervision
 from testbed.network.sockets import LOCAL, Peer, reset, until
 from testbed.stand_ins.backends import Backend
 from testbed.stand_ins.single_gateway import World, in_loop, request, running
@@ -80,7 +79,7 @@
 
 
 async def client_sends_much_after_the_last_answer(world: World, client: SlowReader) -> None:
-    await client.send((b"QUIT",), (b"x" * 2 * connections.MAX_DISCARDED_BYTES,))
+    await client.send((b"QUIT",), (b"x" * 2 * ending.MAX_DISCARDED_BYTES,))
     await asyncio.sleep(0.1)
     await client.send(request(b"late"))
 
--- a/tests/service/test_guard.py
+++ b/tests/service/test_guard.py
@@ -86,11 +86,11 @@
         connection, wire = scene.connection, Wire()
         connection.connection_made(wire)
         slot = scene.send_request()
-        connection.close()
+        connection.end.close()
         assert not wire.ended
         assert connection.server.guard.violations[Invariant.NO_UNANSWERED_CLOSE] == 1
         slot.answer(encode_bulk_string(b"value"))
-        connection.close()
+        connection.end.close()
         assert wire.ended == "close"
 
     in_loop(scenario)
