--- a/switchline/clients/supervision.py
+++ b/switchline/clients/supervision.py
@@ -53,12 +53,12 @@
 def has_delivery_timed_out(connection: ClientConnection, now_s: float, undelivered_bytes: int) -> bool:
     """Whether the peer takes its answers too slowly, or not at all."""
     assert connection.transport is not None
-    # In an open connection some bytes may always be on their way; those that wait here are limited in time.
+    # In an open connection some bytes may always be on their way.
     half_closed = connection.end.state is ConnectionState.HALF_CLOSED
     waiting_bytes = undelivered_bytes if half_closed else connection.transport.get_write_buffer_size()
-    if is_streaming(connection):
-        waiting_bytes = 0
-    return connection.answers.delivery.has_timed_out(now_s, undelivered_bytes, waiting_bytes)
+    return connection.answers.delivery.has_timed_out(
+        now_s, undelivered_bytes, waiting_bytes, is_streaming(connection)
+    )
 
 
 def check_half_closed(connection: ClientConnection, now_s: float, undelivered_bytes: int) -> None:
--- a/switchline/clients/watchdog.py
+++ b/switchline/clients/watchdog.py
@@ -95,14 +95,18 @@
     _delivered_bytes: int = 0  # number of bytes that the peer's system had received at the last check
     _last_progress_s: float | None = None  # None if everything was delivered at the last check
 
-    def has_timed_out(self, now_s: float, undelivered_bytes: int, waiting_bytes: int) -> bool:
+    def has_timed_out(
+        self, now_s: float, undelivered_bytes: int, waiting_bytes: int, streaming: bool
+    ) -> bool:
         """Whether the peer has left its answers unread for too long: it has vanished, or reads too slowly.
 
         Args:
             now_s: the current time.
-            undelivered_bytes: number of bytes that the peer's system has not received; some of them must move
-                within UNREAD_TIMEOUT_S.
-            waiting_bytes: number of those that must all be read within MAX_UNREAD_DURATION_S.
+            undelivered_bytes: number of bytes that the peer's system has not received.
+            waiting_bytes: number of those that something waits for: memory, or the end of the connection.
+                Some must move within UNREAD_TIMEOUT_S; of others within MAX_UNREAD_DURATION_S.
+            streaming: whether a long answer is being written, which may take any time as long as its bytes
+                move. Else all must be read within MAX_UNREAD_DURATION_S.
         """
         delivered_bytes = self.written_bytes - undelivered_bytes
         if not undelivered_bytes:
@@ -110,11 +114,12 @@
         elif self._last_progress_s is None or delivered_bytes != self._delivered_bytes:
             self._last_progress_s = now_s
         self._delivered_bytes = delivered_bytes
-        if not waiting_bytes:
+        if streaming or not waiting_bytes:
             self._waiting_since_s = None
         elif self._waiting_since_s is None:
             self._waiting_since_s = now_s
-        has_stalled = self._duration_s(now_s, self._last_progress_s) > UNREAD_TIMEOUT_S
+        stall_timeout_s = UNREAD_TIMEOUT_S if waiting_bytes else MAX_UNREAD_DURATION_S
+        has_stalled = self._duration_s(now_s, self._last_progress_s) > stall_timeout_s
         return has_stalled or self._duration_s(now_s, self._waiting_since_s) > MAX_UNREAD_DURATION_S
 
     def unread_s(self, now_s: float) -> float:
