A surplus connection whose request waits for its turn is answered, not closed

A connection without a place is closed unless what arrives first is a request; since connections take turns a request that had been read and waited counted as none, and got no answer.

Change: such a connection is not closed while it waits for its turn.

Measured: the new test fails before (no answer) and passes now.

--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -170,7 +170,7 @@
         self.check_body_arrival()
         if self.transport is not None and not self.slots and (self.closing or self.closes_for_drain()):
             self.end.close_gracefully()
-        elif self.surplus and not self.validated and self.streamed_body is None:
+        elif self.surplus and not (self.validated or self.waits_for_turn or self.streamed_body is not None):
             self.server.places.evict(self, EvictionReason.NO_EVICTABLE_CONNECTION)
         self.update_memory_use()
         self.update_reading()
--- a/tests/clients/test_connections.py
+++ b/tests/clients/test_connections.py
@@ -30,7 +30,7 @@
 from switchline.clients.connection import ClientConnection
 from switchline.clients.server import ClientServer
 from switchline.clients.slot import Slot
-from switchline.clients.turns import Turns
+from switchline.clients.turns import ITERATION_S, Turns
 from switchline.config import ConfigError, load_config, parse_config
 from switchline.net import accept
 from switchline.net.accept import Acceptor, AcceptRate
@@ -1010,3 +1010,15 @@
                 await server.stop()
 
     in_loop(scenario)
+
+
+# Guards against: a surplus connection is closed while its first request has been read and waits for its turn.
+def test_request_on_a_surplus_connection_that_waits_for_its_turn_is_answered() -> None:
+    harness = ServerHarness(8)
+    for number in range(harness.server.places.limit):
+        harness.send_request(harness.connect(f"127.0.1.{number}"))
+    surplus = harness.connect()
+    assert surplus.surplus
+    harness.server.turns._used_s = ITERATION_S  # this iteration has no time left
+    harness.send_request(surplus)
+    assert written_replies(surplus) == [b"-BUSY 200\r\n"]
