--- a/switchline/__main__.py
+++ b/switchline/__main__.py
@@ -50,6 +50,7 @@
         print(f"switchline: LB_CONFIG is not set\n\n{USAGE}", file=sys.stderr)
         return EXIT_USAGE
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # no configuration has been read yet that could be reloaded
+    load(".without_openssl").leave_out_openssl()
     load(".logs").start()
     return int(load(".service.program").main(path))
 
--- a/switchline/backends/connection.py
+++ b/switchline/backends/connection.py
@@ -287,16 +287,17 @@
     def _read(self) -> bool:
         """Read and process the bytes that are available, up to a limit; return whether there were any."""
         streaming = self._answer is not None
+        max_bytes = self.pool.buffer_budget.window_bytes if streaming else MAX_READ_BYTES
         try:
-            data = self.socket.recv(self.pool.buffer_budget.window_bytes if streaming else MAX_READ_BYTES)
+            received_bytes = self.socket.recv_into(self.pool.read_buffer, max_bytes)
         except (BlockingIOError, InterruptedError):
             return False
         except OSError:
-            data = b""
-        if not data:
+            received_bytes = 0
+        if not received_bytes:
             self.end(self.outcome_if_broken())
             return False
-        self._parser.feed(data)
+        self._parser.feed(self.pool.read_buffer[:received_bytes])
         self._process_received()
         return True
 
--- a/switchline/backends/pool.py
+++ b/switchline/backends/pool.py
@@ -14,6 +14,7 @@
 from switchline.config import Address
 from switchline.net.descriptors import Budget, DescriptorOwner
 from switchline.net.idle import IdleTimes
+from switchline.net.memory import MAX_READ_BYTES
 from switchline.net.streams import BufferBudget
 from switchline.operators.metrics import Metrics
 from switchline.policy.interface import BackendState, Outcome
@@ -69,6 +70,7 @@
         self.budget = budget
         self.metrics = metrics
         self.buffer_budget = buffer_budget
+        self.read_buffer = memoryview(bytearray(MAX_READ_BYTES))  # shared: each read is parsed at once
         self.idle_times = IdleTimes(keepalive_ms * MAX_IDLE_RATIO)
         self.endpoints: dict[int, Endpoint] = {}
         self.connections: set[Connection] = set()
--- a/switchline/config.py
+++ b/switchline/config.py
@@ -9,8 +9,8 @@
 import hashlib
 import json
 import os
+import socket
 from dataclasses import dataclass, field, fields, replace
-from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any
 
@@ -213,7 +213,11 @@
     host, colon, port = str(text).rpartition(":")
     if not colon or not (port.isascii() and port.isdigit()) or int(port) > MAX_PORT:
         raise SettingError(f"not an address of the form IPV4:PORT: {text!r}")
-    return str(IPv4Address(host)), int(port)
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError as error:
+        raise SettingError(f"not a numeric IPv4 address: {host!r}") from error
+    return host, int(port)
 
 
 def parse_shares(table: Any) -> Shares:
