Both processes of an upgrade stay under the one memory limit of their gateway

With the limit not enforced a play with twice 42 clients took 43.9 MB.

Hypotheses, told apart by samples of both processes and the new metrics `memory.process` and `memory.process_limit`: (1) each process counts on the whole limit: yes, 22.6 and 21.3 MB at the same time; (2) the ledger counts far less than the process takes: yes, 17.6 MB with 0.5 MB counted, as copies, connections and freed memory are not in it; (3) the new process is too large by itself: yes, 14.9 to 15.7 MB at rest.

Cause: the limit of a process came from `memory_mb` alone, and nothing compared it with the memory that the system sees. Nobody gave back before a new process started.

Change: `MemoryDivision` (decisions alone) owns the limit. A process asks the one before it for memory as its first step, before it loads the program. The older one lowers its own limit, grants the rest once it has given so much back, and grants more as its connections end. If either ends, the other takes its part back once the system says that its memory is free. The ledger admits requests by the measured memory of the process too. A request that does not fit waits up to 0.5 s and a quarter of its time, then it is rejected with a time.

--- a/switchline/__main__.py
+++ b/switchline/__main__.py
@@ -1,6 +1,7 @@
 """Runs one gateway: `python -m switchline`, with the configuration file that `LB_CONFIG` names.
 
-Only the standard library is imported here; the rest of the program is imported with retries.
+Only the standard library is imported here; the rest of the program is imported with retries, once an older
+process of this gateway has given back memory for it.
 """
 
 from __future__ import annotations
@@ -51,8 +52,9 @@
         return EXIT_USAGE
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # no configuration has been read yet that could be reloaded
     load(".without_openssl").leave_out_openssl()
+    start_grant = load(".upgrade.start_grant").wait_for_grant(path)
     load(".logs").start()
-    return int(load(".service.program").main(path))
+    return int(load(".service.program").main(path, start_grant))
 
 
 if __name__ == "__main__":
--- a/switchline/net/streams.py
+++ b/switchline/net/streams.py
@@ -16,6 +16,8 @@
 
 # Share of the memory limit that one kind of buffer may use for all values together.
 BUFFER_SHARE_RATIO = 1 / 16
+# Likewise, of what the process may take for clients while its memory limit is divided.
+AVAILABLE_SHARE_RATIO = 1 / 8
 MIN_WINDOW_BYTES = 8 * 1024
 MAX_WINDOW_BYTES = 64 * 1024
 # Limits the time for which a long answer is held back; 2 s of it lose the request. Checks are 0.25 s apart.
@@ -35,11 +37,19 @@
     """
 
     def __init__(self, memory_limit_bytes: int) -> None:
-        self.budget_bytes = int(memory_limit_bytes * BUFFER_SHARE_RATIO)
+        self.memory_limit_bytes = memory_limit_bytes
         self.active_values = 0  # values in transfer
         self.ledger = MemoryLedger(memory_limit_bytes)
         self.collections = CollectionQueue(self.ledger)
 
+    @property
+    def budget_bytes(self) -> int:
+        """What one kind of buffer may use for all values together now."""
+        configured_bytes = int(self.memory_limit_bytes * BUFFER_SHARE_RATIO)
+        if not self.ledger.idle_process_bytes:
+            return configured_bytes
+        return min(configured_bytes, int(self.ledger.available_bytes * AVAILABLE_SHARE_RATIO))
+
     @property
     def window_bytes(self) -> int:
         """The number of bytes that one buffer of one value may use now."""
@@ -146,6 +156,7 @@
     def __init__(self, buffer_budget: BufferBudget, length_bytes: int, on_data: Callable[[], None]) -> None:
         self.buffer_budget = buffer_budget
         self.length_bytes = length_bytes
+        self.collected_bytes = 0
         self.on_data = on_data
         self.forwarding = Forwarding.STREAMED
         self.started = False  # whether bytes have been taken for writing
@@ -222,6 +233,9 @@
         self._pieces.append(data)
         self._buffered_bytes += len(data)
         self._last_received_s = time.monotonic()
+        if self.forwarding is Forwarding.COLLECTED:
+            self.collected_bytes += len(data)
+            self.buffer_budget.ledger.count_collected(len(data))
         self.on_data()
 
     def take(self) -> bytes:
--- a/switchline/operators/overrides.py
+++ b/switchline/operators/overrides.py
@@ -13,7 +13,6 @@
 import logging
 import math
 import os
-import re
 import time
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
@@ -36,7 +35,6 @@
 MAX_FILE_BYTES = 1024 * 1024  # a larger file was not written by this program
 # How long the time of clearing an override is stored: a backend's slow start needs it, and takes less.
 CLEARED_RETENTION_MS = 120_000.0
-MAX_PATH_NAME_LENGTH = 64  # characters of a gateway's name that a file's name contains
 KEY_ACTIVE = "out"
 KEY_CLEARED = "back"
 
@@ -96,15 +94,6 @@
 OverrideListener = Callable[[str, bool, float], None]
 
 
-def private_file(gateway: str, suffix: str) -> Path:
-    """Return the path of a file or socket that other processes of the same gateway use as well.
-
-    The prefix is an earlier name of the program, so that files and sockets of older versions are found.
-    """
-    safe = re.sub(r"[^A-Za-z0-9_-]", "_", gateway)[:MAX_PATH_NAME_LENGTH]
-    return Path(os.environ.get("TMPDIR") or "/tmp") / f"roadpulley-{safe}-{suffix}"
-
-
 class OperatorOverrides:
     """Owns the overrides of one kind, and their file.
 
--- a/switchline/requests/lifecycle.py
+++ b/switchline/requests/lifecycle.py
@@ -17,6 +17,7 @@
 from switchline.policy.quota.fair_shares import PRESSURE_RATIO, FairShares
 from switchline.requests.arrivals import MAX_CLIENT_WAIT_MS, CommandReader, MalformedCommandError
 from switchline.requests.context import RequestContext
+from switchline.requests.memory_wait import MemoryWait, WaitingRequest
 from switchline.requests.request import Request
 from switchline.requests.sent_requests import SentRequests
 
@@ -46,6 +47,7 @@
         self.max_in_flight = context.max_in_flight
         self.timers = context.timers
         self.ledger = context.buffer_budget.ledger
+        self.memory_wait = MemoryWait(self.ledger, self.timers, self._accept_waiting, self._reject_waiting)
         self.backends = context.backends
         self.metrics = context.metrics
         self.report = context.report
@@ -61,7 +63,7 @@
         Raises:
             MalformedCommandError: If the command is malformed or its id is in use.
         """
-        if command.id in self.in_flight:
+        if command.id in self.in_flight or command.id in self.memory_wait.waiting:
             raise MalformedCommandError("id in use")
         event = self.reader.read(command)
         if command.id in self.sent:
@@ -75,17 +77,21 @@
         if self.is_shutting_down or not self.shares.admits(event.customer):
             self._reject_for_capacity(event.request_class, slot)
             return
-        held_bytes = command.held_bytes + ANSWER_RESERVE_BYTES
-        if not self.ledger.admits_request(held_bytes):
+        if self.memory_wait.may_pass(command):
+            self._accept(command, slot, event)
+        elif not self.memory_wait.add(command, slot, event):
             self._reject_for_memory(event.request_class, slot)
-            return
+
+    def _accept(self, command: Command, slot: Slot, event: api.RequestArrived) -> None:
+        """Take a request into service; `event` notifies the policy of it."""
         self.report.counts["requests taken"] += 1
         self.shares.take(event.customer)
         request_class = self.reader.classes[event.request_class]
         request = self.in_flight[command.id] = Request(
             command, slot, request_class, event.expires_ms, MemoryEntry(self.ledger, MemoryUse.REQUESTS)
         )
-        request.memory.set(held_bytes)
+        request.memory.set(command.held_bytes)
+        self.ledger.change(MemoryUse.RESERVED, ANSWER_RESERVE_BYTES)
         if command.streamed_body is None:
             due_ms = max(request.expires_at_ms, now_ms() + DECISION_TIME_MS)
             request.expiry_timer = self.timers.at(due_ms, partial(self._on_expired, request))
@@ -95,6 +101,16 @@
             )
         self.send_event(event)
 
+    def _accept_waiting(self, request: WaitingRequest) -> None:
+        """Accept a request that has waited for memory, unless it was sent by the peer process meanwhile."""
+        if request.command.id in self.sent:
+            self._fail_repeated(request.event.request_class, request.slot)
+        else:
+            self._accept(request.command, request.slot, request.event)
+
+    def _reject_waiting(self, request: WaitingRequest) -> None:
+        self._reject_for_memory(request.event.request_class, request.slot)
+
     def _fail_repeated(self, class_name: str, slot: Slot) -> None:
         """Answer a request that has come again: it may have run, and must not run twice."""
         log.warning(log_events.REQUEST_REPEATED, slot.request_id)
@@ -122,6 +138,8 @@
             log_events.MEMORY_USED_UP,
             *self.ledger.used_by_kind,
             self.ledger.limit_bytes,
+            self.ledger.process_bytes,
+            self.ledger.process_limit_bytes,
         )
         self.metrics.rejected_for_memory += 1
         self.report.counts["refused for memory"] += 1
@@ -194,6 +212,9 @@
 
     def on_client_gone(self, request_id: str) -> None:
         """Abandon a request whose client has closed its connection."""
+        if (waiting := self.memory_wait.remove(request_id)) is not None:
+            self.metrics.count_outcome(waiting.event.request_class, OutcomeKind.ABORTED)
+            return
         request = self.release(request_id)
         if request is None:
             return
@@ -229,6 +250,7 @@
         if request is not None:
             self.shares.release(request.command.customer)
             request.memory.set(0)
+            self.ledger.change(MemoryUse.RESERVED, -ANSWER_RESERVE_BYTES)
         return request
 
     def drop_body(self, request: Request) -> None:
@@ -252,6 +274,7 @@
     def end_all(self) -> None:
         """Answer all requests in flight because the process ends, and reject those that arrive later."""
         self.is_shutting_down = True
+        self.memory_wait.reject_all()
         for request_id, request in list(self.in_flight.items()):
             if request.response is not None and (request.response.complete or request.response.started):
                 continue  # its client is reading the answer
--- a/switchline/requests/request.py
+++ b/switchline/requests/request.py
@@ -27,7 +27,7 @@
         slot: The place of the answer among the answers on the client's connection.
         request_class: The class of the request.
         expires_at_ms: When the client's timeout ends, in Unix milliseconds.
-        memory: The ledger's entry for its value and for its answer, until it has its final answer.
+        memory: The ledger's entry for its value, until it has its final answer.
         attempts_made: The number of attempts started so far; also the number of the next attempt.
         sent_at_ms: When the last byte of an attempt was sent, in Unix milliseconds, by the attempt's number.
             Only of attempts that may have run.
--- a/switchline/service/calls/overrides.py
+++ b/switchline/service/calls/overrides.py
@@ -11,7 +11,8 @@
 
 from switchline import log_events
 from switchline.operators.calls import DeferredReply, Reply
-from switchline.operators.overrides import OperatorOverrides, private_file
+from switchline.operators.overrides import OperatorOverrides
+from switchline.private_files import private_file
 from switchline.service.audit_trail import AuditTrail
 from switchline.service.optional_fleet import OptionalFleet
 from switchline.service.parts import GatewayParts
--- a/switchline/service/program.py
+++ b/switchline/service/program.py
@@ -20,6 +20,7 @@
 from switchline.service.event_loop import run_in_loop
 from switchline.service.service import Service
 from switchline.service.signals import Signals
+from switchline.upgrade.start_grant import StartGrant
 
 log = logging.getLogger("switchline")
 
@@ -42,6 +43,7 @@
     ready: Callable[[int], None] | None = None,
     changes: asyncio.Queue[Config] | None = None,
     signals: Signals | None = None,
+    start_grant: StartGrant | None = None,
 ) -> None:
     """Serve until `stop` is set, then drain.
 
@@ -51,9 +53,10 @@
         ready: Called with the port once clients are accepted.
         changes: Later configurations, which are applied in turn.
         signals: Noted signals, which are also polled for.
+        start_grant: Of memory by an older process; None if the memory of this process is not measured.
     """
     loop = asyncio.get_running_loop()
-    service = Service(config, stop)
+    service = Service(config, stop, start_grant)
     guard = service.parts.guard
     discovery = service.parts.discovery
     if signals is not None:  # the interval is that of polling overrides, so this causes no further wake-ups
@@ -76,7 +79,7 @@
         log.info(log_events.ENDED, guard.contained_faults.total(), violated or "none")
 
 
-async def run(path: str, config: Config) -> None:
+async def run(path: str, config: Config, start_grant: StartGrant) -> None:
     """Serve until SIGTERM or SIGINT; at each SIGHUP the file at `path` is read again."""
     stop = asyncio.Event()
     changes = asyncio.Queue[Config]()
@@ -95,7 +98,7 @@
     signals = Signals(loop, {signal.SIGHUP: reload, signal.SIGTERM: stop.set, signal.SIGINT: stop.set})
     if early_reloads:
         reload()
-    await serve(config, stop, changes=changes, signals=signals)
+    await serve(config, stop, changes=changes, signals=signals, start_grant=start_grant)
 
 
 def read_config(path: str) -> Config:
@@ -112,7 +115,7 @@
     return load_config(path)
 
 
-def main(path: str) -> int:
+def main(path: str, start_grant: StartGrant) -> int:
     """Serve with the configuration at `path`; return the exit code.
 
     A SIGHUP before the event loop runs is noted, and the file is read again once the loop runs. After the
@@ -121,7 +124,7 @@
     signal.signal(signal.SIGHUP, lambda number, _: early_reloads.append(number))
     try:
         config = read_config(path)
-        run_in_loop(lambda: run(path, config))
+        run_in_loop(lambda: run(path, config, start_grant))
     except (ConfigError, DiscoveryError) as error:
         print(f"switchline: bad configuration: {error}", file=sys.stderr)
         return EXIT_CONFIG
--- a/switchline/service/service.py
+++ b/switchline/service/service.py
@@ -36,10 +36,12 @@
 from switchline.service.calls.routes import operator_routes
 from switchline.service.calls.status import ServiceStatus
 from switchline.service.drain import ClientIntake, FinalDrain
+from switchline.service.memory_sharing import MemorySharing
 from switchline.service.optional_fleet import OptionalFleet
 from switchline.service.parts import GatewayParts
 from switchline.service.reload import ConfigReload
 from switchline.service.upgrade import ProcessUpgrade
+from switchline.upgrade.start_grant import StartGrant
 
 if TYPE_CHECKING:
     from switchline.fleet_runtime.membership import FleetMembership
@@ -57,9 +59,10 @@
     Args:
         config: The configuration at the start.
         stop: Set when this process is to end; set here once another process has taken over.
+        start_grant: Of memory by an older process; None if the memory of this process is not measured.
     """
 
-    def __init__(self, config: Config, stop: asyncio.Event) -> None:
+    def __init__(self, config: Config, stop: asyncio.Event, start_grant: StartGrant | None = None) -> None:
         self.parts = GatewayParts(config, lambda message: self.upgrade.handover.send(message))
         self.trail = AuditTrail(self.parts)
         self.overrides = OverrideSet(self.parts, self.trail)
@@ -70,7 +73,8 @@
         override_calls = OverrideCalls(self.parts, self.overrides, self.persistence, self.fleet)
         routes = operator_routes(self.status, override_calls, self.intake)
         self.operators = OperatorServer(routes, self.parts.descriptors)
-        self.upgrade = ProcessUpgrade(self.parts, self.fleet, self.persistence, stop)
+        self.memory = MemorySharing(self.parts, start_grant) if start_grant is not None else None
+        self.upgrade = ProcessUpgrade(self.parts, self.fleet, self.persistence, self.memory, stop)
         self.reload = ConfigReload(self.parts, self.trail, self.fleet)
         self.drain = FinalDrain(self.parts, self.trail, self.fleet)
         self.parts.driver.report.connection_counts = self.status.report_counts
@@ -124,11 +128,13 @@
         port = await self._listen()
         gc.collect()
         gc.freeze()  # objects made so far stay: later collections skip them, which makes their pauses shorter
+        if self.memory is not None:
+            await self.memory.start()
         log.info(log_events.SERVING, self.parts.config.name, self.parts.config.listen[0], port)
         self.upgrade.handover.notify_serving()
         if self.persistence is not None and took_over:
             self.persistence.acquire_folder()
-        await self.upgrade.handover.listen()
+        await self.upgrade.listen()
         await self.fleet.join()
         return port
 
@@ -166,6 +172,8 @@
         self.upgrade.stop_tasks()
         guard.call("leaving the fleet", self.fleet.leave, False)
         self.upgrade.close()
+        if self.memory is not None:
+            guard.call("closing the socket for memory", self.memory.close)
         guard.call("closing the operators' address", self.operators.close)
         self.parts.close_clients()
         self.parts.close_upstreams()
--- a/switchline/service/upgrade.py
+++ b/switchline/service/upgrade.py
@@ -13,8 +13,9 @@
 from typing import TYPE_CHECKING
 
 from switchline import log_events
-from switchline.operators.overrides import private_file
 from switchline.policy import interface as api
+from switchline.private_files import private_file
+from switchline.service.memory_sharing import MemorySharing
 from switchline.service.optional_fleet import OptionalFleet
 from switchline.service.parts import GatewayParts
 from switchline.upgrade.handover import HandoverEvents, UpgradeHandover
@@ -35,6 +36,7 @@
         parts: Of this gateway.
         fleet: Left at the hand-over, and joined again if the new process is lost.
         persistence: Of the state on disk; None without one.
+        memory: Divides the memory limit between the processes; None if this process's memory is not measured.
         stop: Set once this process has handed over and has no connection and no request left.
     """
 
@@ -43,9 +45,11 @@
         parts: GatewayParts,
         fleet: OptionalFleet,
         persistence: StatePersistence | None,
+        memory: MemorySharing | None,
         stop: asyncio.Event,
     ) -> None:
         self.parts = parts
+        self.memory = memory
         self.fleet = fleet
         self.persistence = persistence
         self.stop = stop
@@ -79,6 +83,8 @@
         """Hand over to the new process, which accepts clients; this one ends after its last connection."""
         log.info(log_events.HANDING_OVER)
         self.parts.clients.hand_over()
+        if self.memory is not None:
+            self.memory.on_handed_over()
         self.parts.descriptors.freeze()
         self.fleet.leave(announce=False)  # the new process has this name now
         if self.persistence is not None:
@@ -107,6 +113,12 @@
             self.persistence.acquire_folder()
         self._rejoin_task = self.parts.loop.create_task(self.fleet.join())
 
+    async def listen(self) -> None:
+        """Listen for the next process, which asks for the state and for memory."""
+        await self.handover.listen()
+        if self.memory is not None:
+            await self.memory.listen()
+
     def _set_peer_descriptors(self, count: int) -> None:
         """Note how many descriptors the peer process uses: both processes together have one limit."""
         self.parts.descriptors.peer_process_descriptors = max(0, count)
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -32,6 +32,7 @@
             initial = await stats(world)
             assert initial.pop("discovered") == 1 and initial.pop("descriptors.limit") == 1024
             assert initial.pop("memory.limit") == (192 - 16) * 1024 * 1024 * 3 // 8
+            assert initial.pop("memory.process_limit") == 192 * 1024 * 1024
             assert 0 < initial.pop("descriptors.held") < 30 and not any(initial.values())
             assert {"succeeded.view", "declined.wipe", "aborted.wipe", "forwards", "ejected"} < set(initial)
             peer = await world.client()
--- a/tests/operators/test_overrides.py
+++ b/tests/operators/test_overrides.py
@@ -13,8 +13,9 @@
 from operator_calls import call, stats
 
 from switchline.clock import Timers
-from switchline.operators.overrides import OperatorOverrides, private_file
+from switchline.operators.overrides import OperatorOverrides
 from switchline.policy import interface as api
+from switchline.private_files import private_file
 from testbed.network.sockets import until
 from testbed.stand_ins.agents import host
 from testbed.stand_ins.backends import Backend
--- a/tests/upgrade/test_upgrade.py
+++ b/tests/upgrade/test_upgrade.py
@@ -15,9 +15,9 @@
 from operator_calls import call
 from upgrade_site import UpgradeSite, running_site
 
-from switchline.operators.overrides import private_file
 from switchline.policy import interface as api
 from switchline.policy.persistence.codec import decode_record, encode_record
+from switchline.private_files import private_file
 from testbed.network.addresses import claimed_port
 from testbed.network.sockets import LOCAL, Reply, until
 from testbed.stand_ins.backends import Backend
