After a new process was killed in service, the next one finds the old process again

What callers saw: a new process that was killed after its yes left its sockets behind in `$TMPDIR`.

Cause: the new process takes the paths of both sockets over, and the old one did not listen again when it took the clients back.

Change: it listens again, for the state and for memory.

--- a/switchline/service/upgrade.py
+++ b/switchline/service/upgrade.py
@@ -66,7 +66,7 @@
         )
         parts.driver.requests.sent.on_added = self.handover.report_request
         self._idle_task: asyncio.Task[None] | None = None
-        self._rejoin_task: asyncio.Task[None] | None = None
+        self._return_task: asyncio.Task[None] | None = None
 
     @property
     def took_over(self) -> bool:
@@ -111,7 +111,12 @@
         self.parts.clients.undo_hand_over()
         if self.persistence is not None:
             self.persistence.acquire_folder()
-        self._rejoin_task = self.parts.loop.create_task(self.fleet.join())
+        self._return_task = self.parts.loop.create_task(self._return_to_service())
+
+    async def _return_to_service(self) -> None:
+        """Listen for a next process again, in place of the one that has ended, and join the fleet."""
+        await self.listen()
+        await self.fleet.join()
 
     async def listen(self) -> None:
         """Listen for the next process, which asks for the state and for memory."""
--- a/switchline/upgrade/handover.py
+++ b/switchline/upgrade/handover.py
@@ -119,6 +119,8 @@
             log.warning("can't listen for the next process of an upgrade, it will start from disk: %s", error)
 
     async def _listen(self) -> None:
+        if self.listener is not None:  # the next process has taken the path over
+            self.listener.close()
         server_socket = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
             with short_socket_path(self.path) as address:
--- a/tests/upgrade/test_upgrade_memory.py
+++ b/tests/upgrade/test_upgrade_memory.py
@@ -71,6 +71,17 @@
     await upgrade(stage, old)
 
 
+async def upgrade_after_one_that_was_killed_in_service(
+    stage: Platform, old: asyncio.subprocess.Process
+) -> None:
+    first = await stage.start()
+    await asyncio.sleep(OVERLAP_S)
+    kill(first)
+    await first.wait()
+    await asyncio.sleep(OVERLAP_S)
+    await upgrade(stage, old)
+
+
 async def play(folder: Path, modules: Path, limits: Limits, load: Load, upgrade: Upgrade) -> Outcome:
     """Let clients read during an upgrade, and return what was seen."""
     async with platform(folder, modules, load, limits) as stage:
@@ -96,6 +107,7 @@
         (upgrade_whose_old_process_is_killed, SLOW_READERS, SMALL),
         (upgrade_whose_old_process_is_halted, SLOW_READERS, SMALL),
         (upgrade_after_one_that_was_killed, SLOW_READERS, SMALL),
+        (upgrade_after_one_that_was_killed_in_service, SLOW_READERS, SMALL),
     ],
     ids=[
         "slow-32",
@@ -105,6 +117,7 @@
         "old-killed",
         "old-halted",
         "new-killed-starting",
+        "new-killed-serving",
     ],
 )
 def test_both_processes_of_an_upgrade_stay_under_one_memory_limit(
