An old process gives back idle connections to backends that its clients do not need

At its end the old process held 64 idle connections to backends and no client.

Change: after the hand-over it closes idle ones beyond the number of its clients.

--- a/switchline/service/upgrade.py
+++ b/switchline/service/upgrade.py
@@ -95,10 +95,17 @@
     async def _wait_until_idle(self) -> None:
         """Report the descriptors in use until no connection and no request is left; then end the process."""
         while self.parts.clients.has_connections or self.parts.driver.requests.in_flight:
+            self._close_surplus_backends()
             self.handover.report_descriptors(self.parts.descriptors.total_in_use)
             await asyncio.sleep(DESCRIPTOR_REPORT_INTERVAL_S)
         self.stop.set()
 
+    def _close_surplus_backends(self) -> None:
+        """Close idle connections to backends that the remaining clients do not need."""
+        backends = self.parts.backends
+        needed = max(len(self.parts.clients.connections), len(self.parts.driver.requests.in_flight))
+        backends.close_longest_idle(max(0, len(backends.connections) - needed))
+
     def _on_peer_left(self) -> None:
         """Note that the peer process is gone; take back what was handed over to it, if it was."""
         self.parts.driver.dispatch(api.PeerProcessLeft())
