A third process asks the one that takes over for memory, and does not start beside two unasked

Seen: with two upgrades that overlap the third process waited at the first one, took its waiting for a halted process after 1 s, or its end for leave to take the whole limit: 46.9 MB of 32, 61.5 of 64.

Change: a request is acknowledged; a process that waits its turn is sent on at the hand-over, and asks again wherever a process listens then.

--- a/switchline/upgrade/memory_link.py
+++ b/switchline/upgrade/memory_link.py
@@ -15,6 +15,7 @@
 from switchline.upgrade.connection import short_socket_path
 from switchline.upgrade.memory_messages import (
     MAX_LINE_BYTES,
+    PENDING_LINE,
     REQUEST_LINE,
     MemoryMessageError,
     decode_grant,
@@ -69,6 +70,11 @@
         self.transport = None
         self.on_lost(self)
 
+    def acknowledge(self) -> None:
+        """Tell the newer process that its request has arrived."""
+        if self.transport is not None:
+            self.transport.write(PENDING_LINE)
+
     def grant(self, granted_bytes: int) -> None:
         """Send how much memory the newer process may take in all."""
         if self.transport is not None:
@@ -164,6 +170,7 @@
         if line + b"\n" != REQUEST_LINE:
             raise MemoryMessageError(f"not a request for memory: {line[:MAX_LINE_BYTES]!r}")
         if connection not in self.waiting:
+            connection.acknowledge()
             self.waiting.append(connection)
             if self.waiting[0] is connection:
                 self.on_asked()
@@ -188,6 +195,11 @@
         if self.waiting:
             self.waiting[0].grant(granted_bytes)
 
+    def hand_over(self) -> None:
+        """Send processes that wait their turn to the one that takes over: they ask there."""
+        for connection in self.waiting[1:]:
+            connection.close()
+
     def close(self) -> None:
         """Stop listening. Connections stay open until the process ends, as its memory is used until then."""
         if self._server is not None:
--- a/switchline/upgrade/memory_messages.py
+++ b/switchline/upgrade/memory_messages.py
@@ -9,6 +9,7 @@
 SOCKET_FILE = "memory.sock"
 MAX_LINE_BYTES = 64
 REQUEST_LINE = b"memory wanted\n"
+PENDING_LINE = b"memory pending\n"  # the request has arrived, and a grant will follow
 GRANT_PREFIX = b"memory granted "
 
 
--- a/switchline/upgrade/start_grant.py
+++ b/switchline/upgrade/start_grant.py
@@ -19,6 +19,7 @@
 from switchline.private_files import private_file
 from switchline.upgrade.memory_messages import (
     MAX_LINE_BYTES,
+    PENDING_LINE,
     REQUEST_LINE,
     SOCKET_FILE,
     MemoryMessageError,
@@ -72,6 +73,9 @@
             return _ask(private_file(name, SOCKET_FILE), config_path, begun_s)
         except MemoryMessageError:
             return StartGrant()
+        except ConnectionResetError:  # another process may have taken over from the older one
+            if time.monotonic() - begun_s > GRANT_TIMEOUT_S:
+                return StartGrant()
         except OSError as error:
             is_over = time.monotonic() - begun_s > SHORTAGE_TIMEOUT_S
             if error.errno not in SHORTAGE_ERRORS or is_over:
@@ -125,19 +129,21 @@
         OSError: The older process has ended.
         MemoryMessageError: It sent something else.
     """
-    line = b""
+    received = b""
     while time.monotonic() - begun_s < GRANT_TIMEOUT_S:
         try:
             data = connection.recv(MAX_LINE_BYTES)
         except TimeoutError:
-            if time.monotonic() - begun_s > SILENCE_S and _fits_beside(connection, config_path):
+            is_silent = not received and time.monotonic() - begun_s > SILENCE_S
+            if is_silent and _fits_beside(connection, config_path):
                 break
             continue
         if not data:
             raise ConnectionResetError("the older process has ended")
-        line += data
-        if b"\n" in line:
-            return decode_grant(line.rpartition(b"\n")[0].rpartition(b"\n")[2])
+        received += data
+        lines = received.removeprefix(PENDING_LINE).split(b"\n")
+        if len(lines) > 1:
+            return decode_grant(lines[-2])
     return UNGRANTED_START_BYTES
 
 
