Announced bytes count until they arrive, and freed memory goes back before a grant

Seen: with 60 KB both ways an old process grew by 1.3 MB after its grant, 32.25 MB together in one run of `bodies-32`: bytes that its clients had announced arrived later. With nothing held for clients it was taken to be able to give back no more, although its allocator could.

Change: the expected memory includes announced bytes that have not arrived. The log warns where two processes cannot fit.

--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -65,6 +65,7 @@
         self.parser = RespParser(MAX_ARGUMENTS, MAX_COMMAND_BYTES, STREAMING_THRESHOLD_BYTES, MAX_VALUE_BYTES)
         ledger = server.buffer_budget.ledger
         self._held_commands = MemoryEntry(ledger, MemoryUse.COMMANDS)
+        self._awaited_bytes = 0  # of those: announced, and not arrived yet
         self.answers = AnswerWriter(MemoryEntry(ledger, MemoryUse.ANSWERS), self.parser.has_partial_value)
         self.slots = self.answers.slots  # of commands that are read and whose answers are not written yet
         self.waits_for_turn = False  # others process their commands first (`Turns`)
@@ -257,6 +258,10 @@
         held_bytes = self.parser.held_bytes if self.transport is not None else 0
         if held_bytes != self._held_commands.held_bytes:
             self._held_commands.set(held_bytes)
+        awaited_bytes = self.parser.awaited_bytes if held_bytes else 0
+        if awaited_bytes != self._awaited_bytes:
+            self.server.buffer_budget.ledger.count_arrived(self._awaited_bytes - awaited_bytes)
+            self._awaited_bytes = awaited_bytes
         self.answers.update_memory_use()
 
     def update_reading(self) -> None:
--- a/switchline/log_events.py
+++ b/switchline/log_events.py
@@ -16,7 +16,9 @@
 MEMORY_GRANTED: Final = "memory granted by an older process: waited_s=%.2f granted_mb=%.1f loaded_mb=%.1f"
 MEMORY_WHOLE: Final = "the older process has ended, the whole memory limit holds here: limit_mb=%.0f"
 MEMORY_WANTED: Final = "a new process needs memory: used_mb=%.1f without_clients_mb=%.1f"
-MEMORY_FIRST_GRANT: Final = "memory granted to a new process: granted_mb=%.1f used_mb=%.1f waited_s=%.2f"
+MEMORY_TOO_SMALL: Final = (
+    "the memory limit is too small for the two processes of an upgrade: limit_mb=%.0f without_clients_mb=%.1f"
+)
 HANDING_OVER: Final = "another process takes the clients"
 DRAIN_STARTED: Final = "drain started: by=operator"
 DRAIN_STOPPED: Final = "drain stopped: by=operator"
--- a/switchline/net/memory.py
+++ b/switchline/net/memory.py
@@ -75,7 +75,7 @@
         self._measure: Callable[[], int | None] | None = None
         self._measured_at_s = 0.0
         self._unmeasured_bytes = 0  # held since the last measurement
-        self._awaited_bytes = 0  # of long answers that memory is reserved for and that have not arrived yet
+        self._awaited_bytes = 0  # counted, as they are announced, and not arrived yet
         self.process_limit_bytes = memory_limit_bytes
         available_bytes = max(0, memory_limit_bytes - PROCESS_BYTES)
         self.limit_bytes = max(MIN_LEDGER_BYTES, int(available_bytes * LEDGER_SHARE_RATIO))
@@ -126,8 +126,8 @@
             self._unmeasured_bytes += difference_bytes
         self._update_shortage()
 
-    def count_collected(self, difference_bytes: int) -> None:
-        """Count bytes of long answers that have arrived in the memory reserved for them, or have left it."""
+    def count_arrived(self, difference_bytes: int) -> None:
+        """Count bytes that have arrived of those that were counted before; negative if they are awaited."""
         self._awaited_bytes -= difference_bytes
         self._unmeasured_bytes += difference_bytes
 
@@ -205,7 +205,7 @@
         """Free the memory of a value, or withdraw it while it waits; nothing happens if it did not enter."""
         if value in self._reserved:
             self._reserved.remove(value)
-            self.ledger.count_collected(-value.collected_bytes)
+            self.ledger.count_arrived(-value.collected_bytes)
             self.ledger.change(MemoryUse.COLLECTED, -value.length_bytes)
         elif value in self.waiting:
             self.waiting.remove(value)
--- a/switchline/net/process_memory.py
+++ b/switchline/net/process_memory.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import gc
 import os
 import socket
 import struct
@@ -35,6 +37,15 @@
         os.close(fd)
 
 
+def give_back_freed_memory() -> None:
+    """Collect garbage, and let the allocator return freed memory to the system, where it can."""
+    gc.collect()
+    import ctypes  # takes memory, and is needed in an upgrade alone
+
+    with contextlib.suppress(OSError, AttributeError):  # not every C library has it
+        ctypes.CDLL(None).malloc_trim(0)
+
+
 def peer_process(connection: socket.socket) -> int:
     """Return the id of the process at the other end of a Unix socket; raises OSError."""
     credentials = connection.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size)
--- a/switchline/net/resp.py
+++ b/switchline/net/resp.py
@@ -112,6 +112,11 @@
         """The memory for bytes that have arrived, or that the value being parsed has announced."""
         return max(len(self.buffer), self._announced_bytes)
 
+    @property
+    def awaited_bytes(self) -> int:
+        """The bytes that the value being parsed has announced and that have not arrived."""
+        return max(0, self._announced_bytes - len(self.buffer))
+
     def read_streamed(self, max_bytes: int) -> bytes:
         """Return up to `max_bytes` of the next bytes of the streamed string that have arrived."""
         max_length = max(0, min(self.streamed_remaining_bytes, max_bytes))
--- a/switchline/net/streams.py
+++ b/switchline/net/streams.py
@@ -235,7 +235,7 @@
         self._last_received_s = time.monotonic()
         if self.forwarding is Forwarding.COLLECTED:
             self.collected_bytes += len(data)
-            self.buffer_budget.ledger.count_collected(len(data))
+            self.buffer_budget.ledger.count_arrived(len(data))
         self.on_data()
 
     def take(self) -> bytes:
--- a/switchline/service/memory_sharing.py
+++ b/switchline/service/memory_sharing.py
@@ -10,7 +10,7 @@
 
 from switchline import log_events
 from switchline.clock import PeriodicTimer
-from switchline.net.process_memory import anonymous_bytes
+from switchline.net.process_memory import anonymous_bytes, give_back_freed_memory
 from switchline.private_files import private_file
 from switchline.service.parts import GatewayParts
 from switchline.upgrade.memory_division import MEBIBYTE, MemoryDivision, ProcessNeed
@@ -20,7 +20,7 @@
 
 log = logging.getLogger(__name__)
 
-DIVISION_INTERVAL_MS = 20.0
+DIVISION_INTERVAL_MS = 50.0
 
 
 class MemorySharing:
@@ -40,6 +40,7 @@
             private_file(parts.config.name, SOCKET_FILE), self._on_successor_asks, self._on_successor_left
         )
         self.receiver = GrantReceiver(self._on_grant, self._on_predecessor_left)
+        self._asked_at_s = 0.0  # when the next process asked for memory, on the loop's clock
         self._timer: PeriodicTimer | None = None  # runs while a next process lives
 
     async def start(self) -> None:
@@ -53,6 +54,12 @@
                 self.ledger.process_bytes / MEBIBYTE,
             )
             await self.receiver.receive_on(self.start_grant.connection)
+        if 2 * self.ledger.idle_process_bytes + self.division.margin_bytes > self.division.limit_bytes:
+            log.warning(
+                log_events.MEMORY_TOO_SMALL,
+                self.division.limit_bytes / MEBIBYTE,
+                self.ledger.idle_process_bytes / MEBIBYTE,
+            )
         self._apply()
 
     async def listen(self) -> None:
@@ -66,6 +73,7 @@
             ledger.expected_process_bytes,
             ledger.used_bytes,
             len(self.parts.clients.connections),
+            self.parts.loop.time() - self._asked_at_s,
         )
 
     def _apply(self) -> None:
@@ -83,12 +91,15 @@
     def _on_successor_asks(self) -> None:
         need = self._need()
         log.info(log_events.MEMORY_WANTED, need.present_bytes / MEBIBYTE, need.idle_bytes / MEBIBYTE)
+        self._asked_at_s = self.parts.loop.time()
         self.division.on_successor_asks()
         self._divide()
         self._timer = self.parts.timers.every(DIVISION_INTERVAL_MS, "dividing memory", self._divide)
 
     def _divide(self) -> None:
         """Measure this process, apply its limit, and grant the next one what is free."""
+        if not self.division.successor_bytes:
+            give_back_freed_memory()
         self.ledger.measure()
         self._apply()
         granted_bytes = self.division.grant(self._need())
@@ -98,6 +109,7 @@
     def on_handed_over(self) -> None:
         """Note that the next process takes the clients."""
         self.division.on_handed_over(len(self.parts.clients.connections))
+        self.server.hand_over()
 
     def _on_successor_left(self) -> None:
         if self._timer is not None:
--- a/switchline/upgrade/memory_division.py
+++ b/switchline/upgrade/memory_division.py
@@ -18,6 +18,7 @@
 # Left free, for what processes take between two looks at their memory; less of it while one of them starts.
 MARGIN_RATIO = 1 / 16
 START_MARGIN_RATIO = 3 / 64
+MAX_WAIT_S = 2.0  # a new process has 6 s until it must serve
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,12 +30,14 @@
         present_bytes: Now, with what is promised to requests in flight.
         client_bytes: Held for clients, as counted.
         connections: Of clients, how many are open.
+        waited_s: For how long a next process has waited for memory, in seconds.
     """
 
     idle_bytes: int
     present_bytes: int
     client_bytes: int
     connections: int
+    waited_s: float = 0.0
 
 
 class MemoryDivision:
@@ -86,15 +89,16 @@
     def grant(self, need: ProcessNeed) -> int | None:
         """Return how much the next process may take from now on; None if that is no more than before.
 
-        The first grant is made once the next process can load the program with it, or once this one can give
-        back no more.
+        The first grant is made once the next process can load the program with it. After `MAX_WAIT_S` it is
+        also made if this one holds nothing for clients any more: then its allocator keeps the rest.
         """
         if not self.has_successor:
             return None
         kept_bytes = max(need.present_bytes, self.own_limit_bytes(need))
         grant_bytes = self.total_bytes - self.margin_bytes - kept_bytes
         start_bytes = self.total_bytes - int(self.limit_bytes * START_MARGIN_RATIO) - need.present_bytes
-        fits = start_bytes >= need.idle_bytes or need.client_bytes <= MIN_CLIENT_BYTES
+        keeps_too_much = need.client_bytes <= MIN_CLIENT_BYTES and need.waited_s >= MAX_WAIT_S
+        fits = start_bytes >= need.idle_bytes or keeps_too_much
         if not fits or grant_bytes <= self.successor_bytes:
             return None
         self.successor_bytes = grant_bytes
--- a/tests/upgrade/test_upgrade_memory.py
+++ b/tests/upgrade/test_upgrade_memory.py
@@ -37,6 +37,8 @@
 LONG_VALUES = Load(clients=20, later_clients=20, commands=2, value_bytes=200_000, bytes_per_s=200_000)
 BODIES = Load(clients=42, later_clients=42, commands=4, body_bytes=60_000, bytes_per_s=80_000)
 
+SHORT_VALUES = Load(commands=32, value_bytes=1000)
+
 Upgrade = Callable[[Platform, asyncio.subprocess.Process], Awaitable[None]]
 
 
@@ -103,6 +105,7 @@
         (upgrade, SLOW_READERS, SMALL),
         (upgrade, LONG_VALUES, SMALL),
         (upgrade, BODIES, SMALL),
+        (upgrade, SHORT_VALUES, SMALL),
         (upgrade, Load(clients=85, later_clients=85), MEDIUM),
         (upgrade_whose_old_process_is_killed, SLOW_READERS, SMALL),
         (upgrade_whose_old_process_is_halted, SLOW_READERS, SMALL),
@@ -113,6 +116,7 @@
         "slow-32",
         "long-values-32",
         "bodies-32",
+        "short-values-32",
         "slow-64",
         "old-killed",
         "old-halted",
