--- a/testbed/upgrade_memory.py
+++ b/testbed/upgrade_memory.py
@@ -1,8 +1,7 @@
 """An upgrade of one gateway under clients that read slowly, with the memory of all its processes watched.
 
 The gateway's processes are real ones and share a listening socket. Backends, discovery, the counter and the
-clients are stand-ins on the event loop of the caller. `tests/upgrade/test_upgrade_memory.py` and
-`measure/upgrade_memory.py` use it.
+clients are stand-ins on the event loop of the caller. `tests/upgrade/test_upgrade_memory.py` uses it.
 """
 
 from __future__ import annotations
