A process is ready once the old one of an upgrade accepts no client any more

Cause: the new process said yes as soon as it listened. Its message to the old one left one or two turns of the event loop later, three since the memory grants; a client that connected after the yes could still be accepted by the old process, which closed the connection after one answer.

Change: memory is measured and grants are received before the process listens, and the message is queued in the same turn. Readiness waits until the old process has reported its descriptors or has ended, 0.5 s at most.

Both new tests are red without the change they belong to.

--- a/switchline/service/calls/status.py
+++ b/switchline/service/calls/status.py
@@ -10,6 +10,7 @@
 from switchline.service.calls.overrides import YES
 from switchline.service.optional_fleet import OptionalFleet
 from switchline.service.parts import GatewayParts
+from switchline.service.upgrade import ProcessUpgrade
 
 if TYPE_CHECKING:
     from switchline.state.persistence import StatePersistence
@@ -26,15 +27,17 @@
         trail: AuditTrail,
         persistence: StatePersistence | None,
         fleet: OptionalFleet,
+        upgrade: ProcessUpgrade,
     ) -> None:
         self.parts = parts
         self.trail = trail
         self.persistence = persistence
         self.fleet = fleet
+        self.upgrade = upgrade
 
     def readiness(self) -> Reply:
-        """Return yes (200) if this process takes clients, else no (503)."""
-        return YES if self.parts.clients.takes_clients else Reply(503, "no\n")
+        """Return yes (200) if new clients reach this process, else no (503)."""
+        return YES if self.upgrade.is_ready else Reply(503, "no\n")
 
     def stats(self) -> Reply:
         """Return all metrics, as text."""
--- a/switchline/service/service.py
+++ b/switchline/service/service.py
@@ -69,12 +69,12 @@
         self.persistence = self._make_persistence()
         self.intake = ClientIntake(self.parts)
         self.fleet = OptionalFleet(self.parts, self._make_membership)
-        self.status = ServiceStatus(self.parts, self.trail, self.persistence, self.fleet)
+        self.memory = MemorySharing(self.parts, start_grant) if start_grant is not None else None
+        self.upgrade = ProcessUpgrade(self.parts, self.fleet, self.persistence, self.memory, stop)
+        self.status = ServiceStatus(self.parts, self.trail, self.persistence, self.fleet, self.upgrade)
         override_calls = OverrideCalls(self.parts, self.overrides, self.persistence, self.fleet)
         routes = operator_routes(self.status, override_calls, self.intake)
         self.operators = OperatorServer(routes, self.parts.descriptors)
-        self.memory = MemorySharing(self.parts, start_grant) if start_grant is not None else None
-        self.upgrade = ProcessUpgrade(self.parts, self.fleet, self.persistence, self.memory, stop)
         self.reload = ConfigReload(self.parts, self.trail, self.fleet)
         self.drain = FinalDrain(self.parts, self.trail, self.fleet)
         self.parts.driver.report.connection_counts = self.status.report_counts
@@ -125,13 +125,14 @@
         await self.upgrade.handover.take_over()
         took_over = self.upgrade.took_over
         await self._recover(took_over)
-        port = await self._listen()
         gc.collect()
         gc.freeze()  # objects made so far stay: later collections skip them, which makes their pauses shorter
         if self.memory is not None:
             await self.memory.start()
+        port = await self._listen()
+        # In the same turn of the event loop: an older process must not accept clients beside this one.
+        self.upgrade.request_hand_over()
         log.info(log_events.SERVING, self.parts.config.name, self.parts.config.listen[0], port)
-        self.upgrade.handover.notify_serving()
         if self.persistence is not None and took_over:
             self.persistence.acquire_folder()
         await self.upgrade.listen()
--- a/switchline/service/upgrade.py
+++ b/switchline/service/upgrade.py
@@ -27,6 +27,7 @@
 
 SOCKET_FILE = "beside.sock"
 DESCRIPTOR_REPORT_INTERVAL_S = 0.05
+HAND_OVER_TIMEOUT_S = 0.5  # until this process is ready although the old one, which may be halted, is silent
 
 
 class ProcessUpgrade:
@@ -60,19 +61,32 @@
                 record_received=parts.driver.on_peer_record,
                 peer_serving=self._hand_over,
                 peer_left=self._on_peer_left,
-                descriptors_reported=self._set_peer_descriptors,
+                descriptors_reported=self._on_descriptors_reported,
                 request_sent=parts.driver.requests.sent.add_of_peer,
             ),
         )
         parts.driver.requests.sent.on_added = self.handover.report_request
         self._idle_task: asyncio.Task[None] | None = None
         self._return_task: asyncio.Task[None] | None = None
+        self._awaits_hand_over_until_s = 0.0  # on the loop's clock; in the past once the old process is heard
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new clients reach this process: it takes clients, and the old process takes none."""
+        is_awaiting = self.parts.loop.time() < self._awaits_hand_over_until_s
+        return self.parts.clients.takes_clients and not is_awaiting
 
     @property
     def took_over(self) -> bool:
         """Whether this process has taken over from an older one."""
         return self.handover.state_received.is_set()
 
+    def request_hand_over(self) -> None:
+        """Notify the old process, if there is one, that this one accepts clients."""
+        if self.took_over:
+            self._awaits_hand_over_until_s = self.parts.loop.time() + HAND_OVER_TIMEOUT_S
+        self.handover.notify_serving()
+
     def _on_peer_joined(self) -> None:
         """Send a new process the state of the policy, and the requests that must not run twice."""
         self.parts.driver.dispatch(api.PeerProcessJoined())
@@ -110,6 +124,7 @@
         """Note that the peer process is gone; take back what was handed over to it, if it was."""
         self.parts.driver.dispatch(api.PeerProcessLeft())
         self._set_peer_descriptors(0)
+        self._awaits_hand_over_until_s = 0.0
         if self._idle_task is None:
             return
         self._idle_task.cancel()
@@ -131,6 +146,11 @@
         if self.memory is not None:
             await self.memory.listen()
 
+    def _on_descriptors_reported(self, count: int) -> None:
+        """Note the descriptors of the old process, which reports them once it has handed over."""
+        self._awaits_hand_over_until_s = 0.0
+        self._set_peer_descriptors(count)
+
     def _set_peer_descriptors(self, count: int) -> None:
         """Note how many descriptors the peer process uses: both processes together have one limit."""
         self.parts.descriptors.peer_process_descriptors = max(0, count)
--- a/tests/upgrade/test_upgrade.py
+++ b/tests/upgrade/test_upgrade.py
@@ -15,13 +15,18 @@
 from operator_calls import call
 from upgrade_site import UpgradeSite, running_site
 
+from switchline.config import parse_config
 from switchline.policy import interface as api
 from switchline.policy.persistence.codec import decode_record, encode_record
 from switchline.private_files import private_file
+from switchline.service.service import Service
+from switchline.service.upgrade import HAND_OVER_TIMEOUT_S
+from switchline.upgrade.messages import DescriptorsInUse, Serving, StateSent, decode, encode
+from switchline.upgrade.start_grant import StartGrant
 from testbed.network.addresses import claimed_port
 from testbed.network.sockets import LOCAL, Reply, until
 from testbed.stand_ins.backends import Backend
-from testbed.stand_ins.single_gateway import in_loop, request
+from testbed.stand_ins.single_gateway import World, in_loop, request
 
 
 async def send_requests(
@@ -154,6 +159,67 @@
     in_loop(scenario)
 
 
+def test_a_new_process_accepts_no_client_before_it_has_notified_the_old_one(tmp_path: Path) -> None:
+    """Until then the old process accepts clients too, and would close their connections after one answer."""
+
+    async def scenario() -> None:
+        notified = asyncio.Event()
+        to_old_process, of_old_process = socket.socketpair()
+        config = parse_config(World(Backend()).config())
+        service = Service(config, asyncio.Event(), StartGrant(to_old_process, 64 * 1024 * 1024))
+        service.upgrade.handover.notify_serving = notified.set  # type: ignore[method-assign]
+        await service.load()
+        opening = asyncio.create_task(service.open())
+        try:
+            while not notified.is_set():
+                assert not service.parts.clients.takes_clients
+                await asyncio.sleep(0)
+            await opening
+            assert service.parts.clients.takes_clients
+        finally:
+            service.close()
+            of_old_process.close()
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize("old_process", ["hands over", "ends", "is halted"])
+def test_a_new_process_is_ready_once_the_old_one_accepts_no_client(old_process: str, tmp_path: Path) -> None:
+    async def scenario() -> None:
+        serving_received = asyncio.Event()
+        may_react = asyncio.Event()
+
+        async def act_as_old_process(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(encode(StateSent()))
+            assert decode(await reader.readline()) == Serving()
+            serving_received.set()
+            await may_react.wait()
+            if old_process == "hands over":
+                writer.write(encode(DescriptorsInUse(20)))
+                await reader.read()
+            writer.close()
+
+        server = await asyncio.start_unix_server(act_as_old_process, private_file("n0", "beside.sock"))
+        service = Service(parse_config(World(Backend()).config()), asyncio.Event())
+        await service.load()
+        try:
+            await service.open()
+            opened_at_s = asyncio.get_running_loop().time()
+            await serving_received.wait()
+            assert service.parts.clients.takes_clients and service.status.readiness().status == 503
+            if old_process != "is halted":
+                may_react.set()
+            await until(lambda: service.status.readiness().status == 200)
+            waited_s = asyncio.get_running_loop().time() - opened_at_s
+            assert (waited_s >= HAND_OVER_TIMEOUT_S - 0.1) == (old_process == "is halted")
+        finally:
+            may_react.set()
+            service.close()
+            server.close()
+
+    in_loop(scenario)
+
+
 # Guards against: a request that the old process has sent runs again at the new one (rule on lost requests,
 # picture c).
 def test_a_request_that_the_old_process_has_sent_does_not_run_again_at_the_new_one(tmp_path: Path) -> None:
