A request with a streamed value no longer keeps its answer once that is written

Cause: the receiver of long values kept the slot of its last request, and with it an answer of up to 64 KB for each open connection.

Change: the receiver forgets value and slot once the value is complete or discarded.

--- a/switchline/clients/bodies.py
+++ b/switchline/clients/bodies.py
@@ -57,9 +57,10 @@
         elif parser.streamed_remaining_bytes > 0 or parser.next_value() is INCOMPLETE:
             return False
         else:
-            self.body = None
-            if self.slot is not None and self.slot.request_id is not None:
-                self.connection.server.handler.on_body_received(self.slot.request_id)
+            slot = self.slot
+            self._forget()
+            if slot is not None and slot.request_id is not None:
+                self.connection.server.handler.on_body_received(slot.request_id)
             body.end()
         return True
 
@@ -82,14 +83,18 @@
     def discard(self) -> None:
         """Discard the value, as its client has gone or its request has failed."""
         body = self.body
-        self.body = None
+        self._forget()
         if body is not None:
             body.drop()
 
+    def _forget(self) -> None:
+        """Keep neither the value nor the slot, which would keep its answer after that is written."""
+        self.body = None
+        self.slot = None
+
     def abandon(self) -> Slot | None:
         """Abandon a request whose value does not arrive; return its slot if it has no answer yet."""
         slot = self.slot
-        self.slot = None
         self.discard()
         if slot is None or slot.request_id is None:
             return None
--- a/tests/service/test_memory_limit.py
+++ b/tests/service/test_memory_limit.py
@@ -17,6 +17,7 @@
 from gateway_process import program
 from peak_memory import PeakMemory, watched_memory
 
+from switchline.net.memory import STREAMING_THRESHOLD_BYTES
 from testbed.network.sockets import LOCAL, Peer, Reply, encode
 from testbed.stand_ins.backends import Backend
 from testbed.stand_ins.single_gateway import World, in_loop, request
@@ -27,6 +28,7 @@
 # The largest segment on an Ethernet. With those of loopback the system would hold some MB a connection.
 SEGMENT_BYTES = 1460
 RECEIVE_BUFFER_BYTES = 32 * 1024
+WARM_UP_CLIENTS = 20  # after which the process has made what it makes once
 SILENCE_S = 2.0  # time in which clients neither read nor send; shorter than the gateway's time limits
 
 RETRY_DELAY_S = 0.2
@@ -152,6 +154,23 @@
     await asyncio.sleep(SILENCE_S)
 
 
+# Guards against: the last answer of each client stays in memory if its request had a streamed value.
+def test_an_answered_request_with_a_streamed_value_takes_no_more_memory(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with gateway(tmp_path, MEDIUM, reply_with(VALUE)) as (port, memory):
+            peers = [await connect(port) for _ in range(MEDIUM.clients)]
+            for number, peer in enumerate(peers):
+                peer.send(
+                    *request(b"%06d" % number, name=b"wipe", body=b"v" * (STREAMING_THRESHOLD_BYTES + 1))
+                )
+                assert await receive_all(peer, 1) == 1
+                if number == WARM_UP_CLIENTS:
+                    warm_mb = memory.current_mb()
+            assert memory.current_mb() < warm_mb + 2.0
+
+    in_loop(scenario)
+
+
 @pytest.mark.parametrize("limits", [SMALL, SMALL_WITH_MANY_CLIENTS, MEDIUM], ids=str)
 @pytest.mark.parametrize(
     ("play", "reply", "share_of_clients"),
--- a/tests/support/peak_memory.py
+++ b/tests/support/peak_memory.py
@@ -16,11 +16,14 @@
         self.status = Path(f"/proc/{pid}/status")
         self.peak_mb = 0.0
 
+    def current_mb(self) -> float:
+        """Return the anonymous memory of the process now."""
+        lines = self.status.read_text().splitlines()
+        return next((int(line.split()[1]) / 1024 for line in lines if line.startswith("RssAnon:")), 0.0)
+
     async def watch(self) -> None:
         while True:
-            for line in self.status.read_text().splitlines():
-                if line.startswith("RssAnon:"):
-                    self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
+            self.peak_mb = max(self.peak_mb, self.current_mb())
             await asyncio.sleep(0.02)
 
 
