Test: requests that must not run twice have ids of their own beside a lack of descriptors

The test sent one id on eight connections. The checks are the same; each request has an id of its own now.

--- a/tests/clients/test_connections.py
+++ b/tests/clients/test_connections.py
@@ -669,8 +669,8 @@
             highest_descriptor = max(int(name) for name in os.listdir("/proc/self/fd"))
             resource.setrlimit(resource.RLIMIT_NOFILE, (highest_descriptor, hard))
             try:
-                for peer in held[:8]:  # connections that need not be evicted stay open
-                    assert await world.ask(peer, id=b"again", **not_idempotent) in (b"value", None)
+                for number, peer in enumerate(held[:8]):  # connections that need not be evicted stay open
+                    assert await world.ask(peer, id=b"again%d" % number, **not_idempotent) in (b"value", None)
                 loop = asyncio.get_running_loop()
                 operator.setblocking(False)
                 await loop.sock_sendall(operator, b"GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
