A client that sends one command at a time goes ahead of those that send many at once

Cause: a connection with one command in work and more behind it, as all have while memory is short, used up no slice, so its virtual time never advanced. Beside 300 of them a quiet client waited a whole round, 150 ms.

Change: a connection that awaits more than one answer is charged for each slice, and among equal virtual times those that are not charged go first.

The new test is red without it.

--- a/switchline/clients/connection.py
+++ b/switchline/clients/connection.py
@@ -72,6 +72,7 @@
         self.has_backlog = False
         self.continues_command = False
         self.virtual_time_s = 0.0
+        self.is_charged = False
         self._has_unparsed_bytes = False  # bytes were received that may contain a complete command
         self._pumping = False  # `pump` is running; prevents recursion
 
@@ -206,6 +207,13 @@
             return True
         return self.server.buffer_budget.ledger.is_short
 
+    @property
+    def is_pipelining(self) -> bool:
+        """See `TurnTaker`."""
+        if len(self.slots) > 1:
+            return True
+        return self._has_unparsed_bytes and self.parser.has_partial_value()
+
     def _can_process(self) -> bool:
         return self._has_unparsed_bytes and not self._is_blocked()
 
--- a/switchline/clients/turns.py
+++ b/switchline/clients/turns.py
@@ -5,8 +5,8 @@
 most `ITERATION_S` in one iteration of the event loop. The others wait for a later one.
 
 The order is that of start-time fair queueing: each connection has a virtual time, which advances with each
-slice that it uses up, and the one that is least advanced goes first. So a connection that never uses up a
-slice goes ahead of all that do.
+slice after which it awaits more than one answer, and the one that is least advanced goes first. So a
+connection that sends one command after another goes ahead of all that send many at once.
 """
 
 from __future__ import annotations
@@ -34,6 +34,11 @@
     # It has received more of a command that has begun. This does not wait, as the command is held meanwhile.
     continues_command: bool
     virtual_time_s: float  # the virtual time at which its next slice may begin
+    is_charged: bool  # that time has advanced with its last slice
+
+    @property
+    def is_pipelining(self) -> bool:
+        """Whether it has sent more commands than the one whose answer is due."""
 
     def pump(self) -> None:
         """Process commands, as it is this connection's turn."""
@@ -50,7 +55,7 @@
     def __init__(self, guard: Guard, call_soon: Callable[[Callable[[], None]], object] | None = None) -> None:
         self.guard = guard
         self._call_soon = call_soon
-        # A heap, by virtual time, then those without a backlog first, then by arrival.
+        # A heap, by virtual time, then those that are not charged first, then by arrival.
         self._queue: list[tuple[float, bool, int, TurnTaker]] = []
         self._arrivals = 0
         self._virtual_time_s = 0.0
@@ -94,8 +99,10 @@
         """Count the time of a slice; a connection that has a backlog after it waits for its next turn."""
         used_s = time.perf_counter() - self._slice_started_s
         self._used_s += used_s
-        if connection.has_backlog:
+        connection.is_charged = connection.has_backlog or connection.is_pipelining
+        if connection.is_charged:
             connection.virtual_time_s += min(used_s, SLICE_S)  # a pause of the process is not its doing
+        if connection.has_backlog:
             self._defer(connection)
         if self._used_s >= MIN_ACCOUNTED_S:
             self._schedule()
@@ -103,7 +110,7 @@
     def _defer(self, connection: TurnTaker) -> None:
         connection.waits_for_turn = True
         self._arrivals += 1
-        place = (connection.virtual_time_s, connection.has_backlog, self._arrivals, connection)
+        place = (connection.virtual_time_s, connection.is_charged, self._arrivals, connection)
         heapq.heappush(self._queue, place)
         self._schedule()
 
--- a/tests/clients/test_turns.py
+++ b/tests/clients/test_turns.py
@@ -32,12 +32,17 @@
         self.has_backlog = False
         self.continues_command = False
         self.virtual_time_s = 0.0
+        self.is_charged = False
         self.turns, self.clock = queue, clock
         self.command_s, self.commands = command_s, commands
         self.done = 0
 
+    @property
+    def is_pipelining(self) -> bool:
+        return False
+
     def pump(self) -> None:
-        if not self.commands or not self.turns.begin_slice(self):
+        if not self.commands or self.waits_for_turn or not self.turns.begin_slice(self):
             return
         while self.commands and not self.has_backlog:
             self.commands -= 1
@@ -47,6 +52,22 @@
         self.turns.end_slice(self)
 
 
+class AnsweredConnection(WorkingConnection):
+    """A connection that processes its next command once the one before it is answered."""
+
+    @property
+    def is_pipelining(self) -> bool:
+        return self.commands > 0
+
+    def pump(self) -> None:
+        if not self.commands or self.waits_for_turn or not self.turns.begin_slice(self):
+            return
+        self.commands -= 1
+        self.done += 1
+        self.clock.now_s += self.command_s
+        self.turns.end_slice(self)
+
+
 class Scene:
     """A queue with connections that flood it."""
 
@@ -80,6 +101,24 @@
         assert quiet.done == 1
 
 
+# Guards against: connections with commands beyond those that await their answers have turns like quiet ones.
+def test_a_quiet_connection_goes_ahead_of_those_whose_further_commands_await_answers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clock = Clock()
+    monkeypatch.setattr(turns, "time", clock)
+    next_iteration: list[Callable[[], None]] = []
+    queue = Turns(Guard(), next_iteration.append)
+    floods = [AnsweredConnection(queue, clock, COMMAND_S, 10**6) for _ in range(FLOODS)]
+    for iteration in range(2 * FLOODS):
+        for flood in floods:
+            flood.pump()  # the answer to its command has come
+        quiet = WorkingConnection(queue, clock, COMMAND_S, 1)
+        quiet.pump()
+        next_iteration.pop(0)()
+        assert quiet.done == 1 or iteration * ITERATION_S < 2 * FLOODS * COMMAND_S  # as none had two turns
+
+
 # Guards against: a connection in whose turn the process was held up waits until all others have used as much.
 def test_a_long_turn_of_a_quiet_connection_does_not_delay_its_next_one(
     monkeypatch: pytest.MonkeyPatch,
