Few requests that wait for memory are handled in one turn, and those of quiet clients first

Cause: since up to 256 waiting requests were accepted and rejected in one callback, 30 to 130 ms in which nobody else had a turn, and all others waited behind them in one queue.

Change: they are looked at each 5 ms, 16 at a time; requests that are not pipelined go first and have places of their own; one that can't wait passes if there is memory; one that has waited is checked against its customer's share again.

--- a/switchline/requests/lifecycle.py
+++ b/switchline/requests/lifecycle.py
@@ -63,7 +63,7 @@
         Raises:
             MalformedCommandError: If the command is malformed or its id is in use.
         """
-        if command.id in self.in_flight or command.id in self.memory_wait.waiting:
+        if command.id in self.in_flight or command.id in self.memory_wait:
             raise MalformedCommandError("id in use")
         event = self.reader.read(command)
         if command.id in self.sent:
@@ -77,9 +77,10 @@
         if self.is_shutting_down or not self.shares.admits(event.customer):
             self._reject_for_capacity(event.request_class, slot)
             return
-        if self.memory_wait.may_pass(command):
+        is_pipelined = slot.connection.is_charged
+        if self.memory_wait.may_pass(command, is_pipelined):
             self._accept(command, slot, event)
-        elif not self.memory_wait.add(command, slot, event):
+        elif not self.memory_wait.add(command, slot, event, is_pipelined):
             self._reject_for_memory(event.request_class, slot)
 
     def _accept(self, command: Command, slot: Slot, event: api.RequestArrived) -> None:
@@ -102,9 +103,11 @@
         self.send_event(event)
 
     def _accept_waiting(self, request: WaitingRequest) -> None:
-        """Accept a request that has waited for memory, unless it was sent by the peer process meanwhile."""
+        """Accept a request that has waited for memory, unless it was sent or its share taken meanwhile."""
         if request.command.id in self.sent:
             self._fail_repeated(request.event.request_class, request.slot)
+        elif not self.shares.admits(request.event.customer):
+            self._reject_for_capacity(request.event.request_class, request.slot)
         else:
             self._accept(request.command, request.slot, request.event)
 
--- a/tests/net/test_memory.py
+++ b/tests/net/test_memory.py
@@ -11,14 +11,14 @@
 
 import pytest
 
-from switchline.clients.commands import parse_command
+from switchline.clients.commands import Command, parse_command
 from switchline.clients.slot import Slot
 from switchline.clock import MIN_CANCELLED, Timers, now_ms
 from switchline.net.memory import ANSWER_RESERVE_BYTES, ASSURED_BYTES, MEBIBYTE, MemoryLedger, MemoryUse
 from switchline.net.process_memory import anonymous_bytes
 from switchline.policy import interface as api
 from switchline.private_files import private_file
-from switchline.requests.memory_wait import MAX_WAIT_MS, MemoryWait
+from switchline.requests.memory_wait import MAX_IN_ONE_CHECK, MAX_WAIT_MS, MAX_WAITING_PIPELINED, MemoryWait
 from switchline.upgrade.memory_messages import PENDING_LINE, REQUEST_LINE, SOCKET_FILE, encode_grant
 from switchline.upgrade.start_grant import wait_for_grant
 from testbed.network.sockets import until
@@ -95,11 +95,14 @@
             lambda request: self.rejected.append(request.command.id),
         )
 
-    def add(self, id: bytes, value: bytes | None = None) -> bool:
+    def command(self, id: bytes, value: bytes | None = None) -> Command:
         arguments = [*COMMAND[:2], id, COMMAND[3], *([] if value is None else [value])]
-        command = parse_command(arguments, None, now_ms())
+        return parse_command(arguments, None, now_ms())
+
+    def add(self, id: bytes, value: bytes | None = None, is_pipelined: bool = True) -> bool:
+        command = self.command(id, value)
         event = api.RequestArrived(command.id, "view", "free", "1", now_ms() + 60_000, 1, 1, 0)
-        return self.wait.add(command, Slot.__new__(Slot), event)
+        return self.wait.add(command, Slot.__new__(Slot), event, is_pipelined)
 
 
 # Guards against: all commands of a client are rejected at once, although its answers make room in a moment.
@@ -111,7 +114,7 @@
         waiting.ledger.limit_bytes = MEBIBYTE
         await until(lambda: len(waiting.accepted) == 2)
         assert waiting.accepted == ["a", "c"] and not waiting.rejected
-        assert not waiting.ledger.used_bytes and not waiting.wait.waiting
+        assert not waiting.ledger.used_bytes and not len(waiting.wait)
 
     in_loop(scenario)
 
@@ -131,6 +134,51 @@
     in_loop(scenario)
 
 
+# Guards against: requests of clients that send many at once keep others waiting, or take their places.
+def test_a_request_that_is_not_pipelined_goes_ahead_of_waiting_ones_that_are() -> None:
+    async def scenario() -> None:
+        waiting = Waiting()
+        for number in range(MAX_WAITING_PIPELINED + 1):
+            assert waiting.add(b"p%d" % number) == (number < MAX_WAITING_PIPELINED)
+        assert waiting.add(b"single", is_pipelined=False)
+        waiting.ledger.limit_bytes = MEBIBYTE
+        assert not waiting.wait.may_pass(waiting.command(b"other"), is_pipelined=False)
+        await until(lambda: waiting.accepted)
+        assert waiting.accepted[0] == "single"
+        assert waiting.wait.may_pass(waiting.command(b"other"), is_pipelined=False)
+        assert not waiting.wait.may_pass(waiting.command(b"other"), is_pipelined=True)
+
+    in_loop(scenario)
+
+
+# Guards against: all requests that wait are accepted in one turn of the event loop, which holds up others.
+def test_few_waiting_requests_are_accepted_in_one_turn_of_the_event_loop() -> None:
+    async def scenario() -> None:
+        waiting = Waiting()
+        for number in range(MAX_WAITING_PIPELINED):
+            waiting.add(b"p%d" % number)
+        waiting.ledger.limit_bytes = 64 * MEBIBYTE
+        while len(waiting.accepted) < MAX_WAITING_PIPELINED:
+            before = len(waiting.accepted)
+            await asyncio.sleep(0)
+            assert len(waiting.accepted) - before <= MAX_IN_ONE_CHECK
+
+    in_loop(scenario)
+
+
+# Guards against: a request that can't wait, as it is too long, is rejected although there is memory for it.
+def test_a_long_request_passes_those_that_wait_if_there_is_memory() -> None:
+    async def scenario() -> None:
+        waiting = Waiting()
+        waiting.add(b"a")
+        long_command = waiting.command(b"b", value=b"v" * 10_000)
+        assert not waiting.wait.may_pass(long_command, is_pipelined=True)
+        waiting.ledger.limit_bytes = MEBIBYTE
+        assert waiting.wait.may_pass(long_command, is_pipelined=True)
+
+    in_loop(scenario)
+
+
 # Guards against: timers of answered requests stay in memory until they are due, some MB at 1,500 a second.
 def test_cancelled_timers_are_removed_before_they_are_due() -> None:
     async def scenario() -> None:
