A call for the whole fleet is a new change each time, and is acknowledged where it is in force

Cause: the time of a call is its version, and a repeated one kept the old time. After a ban for all at A and a put back at B, the same ban at A was answered with "2 of 2 gateways have it" while B sent on. A gateway also acknowledged calls that it did not follow, and kept acknowledgements of what its operators had cleared.

Change: a new change gets a time after all that its gateway knows of any gateway; acknowledgements are of calls in force and are withdrawn; a reply says if a newer call has replaced its own. The order is a pure module.

--- a/switchline/fleet_runtime/recovery/overrides.py
+++ b/switchline/fleet_runtime/recovery/overrides.py
@@ -11,7 +11,8 @@
 from switchline.fleet.facts import Facts, StoredFact
 from switchline.fleet.membership.members import Members
 from switchline.fleet.outage import DOWNTIME_PUBLISHED_S
-from switchline.operators.overrides import OperatorOverrides, OverrideChange
+from switchline.operators.override_order import OverrideChange
+from switchline.operators.overrides import OperatorOverrides
 
 log = logging.getLogger(__name__)
 
--- a/switchline/operators/fleet_calls.py
+++ b/switchline/operators/fleet_calls.py
@@ -1,7 +1,8 @@
 """Operators' calls for the whole fleet: one call sets or clears an override at all gateways.
 
-A call is published as a fact in gossip. Each gateway applies the newest call for a name, whatever its own
-operators have set before, and acknowledges it by publishing a fact of its own. The gateway that received the
+A call is published as a fact in gossip; its time is its version, later than all changes that its gateway
+knows. Each gateway applies the newest call for a name, whatever its own operators have set before, and
+acknowledges it by publishing a fact of its own once it is in force there. The gateway that received the
 call replies 200 once more than half of all gateways have acknowledged it, and names the others. The override
 holds until operators clear it, at one gateway or for the fleet. A gateway that could not be reached applies
 the call when gossip reaches it later.
@@ -18,12 +19,13 @@
 from typing import NamedTuple
 
 from switchline.clock import now_ms
-from switchline.fleet.fact_kinds import FactKind
-from switchline.fleet.facts import FactLimitError
+from switchline.fleet.fact_kinds import FLEET_WIDE, FactKind
+from switchline.fleet.facts import FactKey, FactLimitError
 from switchline.fleet.messages import Entry, MemberState
 from switchline.fleet_runtime.transport import GossipTransport, PublishedFact
 from switchline.operators.calls import Reply
-from switchline.operators.overrides import OperatorOverrides, OverrideChange
+from switchline.operators.override_order import OverrideChange, next_change_ms, supersedes
+from switchline.operators.overrides import OperatorOverrides
 
 log = logging.getLogger(__name__)
 
@@ -47,6 +49,10 @@
 }
 
 
+# The kind of the fact of an override at one gateway, by the kind of the same override for the fleet.
+LOCAL_KINDS: dict[str, str] = {fleet_kind: kind for kind, fleet_kind in FLEET_WIDE.items()}
+
+
 class CallKey(NamedTuple):
     """The subject of a call: the kind of its fact, and the name of a backend, zone, gateway or floor."""
 
@@ -59,10 +65,12 @@
 
     Attributes:
         called_at_ms: time of the call, in Unix milliseconds.
+        active: whether the call sets the override.
         published_at_s: when the acknowledgement was published, in seconds of the monotonic clock.
     """
 
     called_at_ms: float
+    active: bool
     published_at_s: float
 
 
@@ -101,10 +109,18 @@
         for key, acknowledgement in list(self.acknowledgements.items()):
             if now_s - acknowledgement.published_at_s > ACK_LIFETIME_S:
                 self._withdraw(key)
+            self.on_changed_here(key.kind, key.name)
         if self.own_calls and self.transport is not None and now_s >= self.next_exchange_s:
             self.next_exchange_s = now_s + EXCHANGE_INTERVAL_S
             self._exchange_with_members_that_lack_a_call(self.transport)
 
+    def on_changed_here(self, kind: str, name: str) -> None:
+        """Withdraw the acknowledgement of a call that is not in force here any more."""
+        key = CallKey(kind, name)
+        acknowledgement = self.acknowledgements.get(key)
+        if acknowledgement is not None and acknowledgement.active != (name in self.overrides[kind].active):
+            self._withdraw(key)
+
     def _exchange_with_members_that_lack_a_call(self, transport: GossipTransport) -> None:
         lacking = [
             member
@@ -117,32 +133,52 @@
         others = transport.node.members.others
         transport.node.exchange_with([others[member].address for member in lacking[:MAX_PARALLEL_EXCHANGES]])
 
-    async def propagate(self, kind: str, name: str, active: bool) -> Reply:
+    def next_change_ms(self, kind: str, name: str) -> float:
+        """Return the time of a new change, later than those known here of any gateway, in Unix ms.
+
+        Args:
+            kind: of the call's fact, for the whole fleet.
+            name: of the override.
+        """
+        known_ms = [self.overrides[kind].last_changed_ms(name)]
+        if self.transport is not None:
+            facts = self.transport.node.facts
+            known_ms += [facts.changed_ms(each, name) for each in (kind, LOCAL_KINDS[kind])]
+        return next_change_ms(now_ms(), known_ms)
+
+    async def propagate(self, kind: str, name: str, active: bool, called_at_ms: float) -> Reply:
         """Publish a call that is already in force here to all gateways, and wait for acknowledgements.
 
+        Args:
+            kind: of the call's fact.
+            name: of the override.
+            active: whether it is set.
+            called_at_ms: the version of the call, by `next_change_ms`.
+
         Returns:
             Status 200 once more than half of all gateways have acknowledged the call. Status 503 if they have
             not within `ACK_TIMEOUT_S`; the call stays in force here, and gossip continues to spread it.
         """
         if self.transport is None:
             return Reply(503, "it holds here alone: there is no line to other gateways\n")
-        overrides = self.overrides[kind]
-        called_at_ms = (overrides.active if active else overrides.cleared).get(name, now_ms())
         value = VALUE_ACTIVE if active else VALUE_CLEARED
         try:
             self.transport.publish(PublishedFact(kind, name, value, called_at_ms))
         except FactLimitError as error:
             return Reply(503, f"it holds here alone: {error}\n")
         key = CallKey(kind, name)
-        self._acknowledge(key, called_at_ms)
+        self._acknowledge(key, OverrideChange(active, called_at_ms))
         self.own_calls[key] = called_at_ms
         deadline_s = time.monotonic() + ACK_TIMEOUT_S
         while self._is_awaited(key, called_at_ms) and time.monotonic() < deadline_s:
             await asyncio.sleep(ACK_POLL_INTERVAL_S)
-        return self._summary(key, called_at_ms)
+        return self._summary(key, called_at_ms, value)
 
-    def _summary(self, key: CallKey, called_at_ms: float) -> Reply:
+    def _summary(self, key: CallKey, called_at_ms: float, value: str) -> Reply:
         """Return the reply to a call: how many gateways have acknowledged it, and the names of the others."""
+        newest = self._newest_call(key)
+        if newest is not None and newest.at_ms > called_at_ms and newest.value != value:
+            return Reply(503, f"a newer call has replaced it, made at {newest.origin}\n")
         others = self._other_members()
         lacking = [member for member in others if not self._has_acknowledged(member, key, called_at_ms)]
         total = 1 + len(others)
@@ -155,28 +191,36 @@
             return Reply(503, f"it holds here and goes on to spread, but {text}\n")
         return Reply(200, f"yes: {text}\n")
 
+    def _newest_call(self, key: CallKey) -> Entry | None:
+        """Return the newest call for a name that any gateway has made, as far as it is known here."""
+        if self.transport is None:
+            return None
+        stored = self.transport.node.facts.table.get(FactKey(key.kind, key.name, ""))
+        return stored.entry if stored is not None else None
+
     def _apply_call(self, entry: Entry) -> None:
-        """Apply a call of another gateway unless a newer change is in force; acknowledge it in both cases."""
+        """Apply a call of another gateway unless a newer change is in force; acknowledge it if it is."""
         overrides = self.overrides[entry.kind]
-        active = entry.value == VALUE_ACTIVE
-        is_newer = entry.at_ms > overrides.last_changed_ms(entry.name)
-        if is_newer and (active or entry.name in overrides.active):
+        change = OverrideChange(entry.value == VALUE_ACTIVE, entry.at_ms)
+        is_newer = supersedes(change, overrides.last_change(entry.name))
+        if is_newer and (change.active or entry.name in overrides.active):
             log.info(
                 "%s is %s by a call for the whole fleet, made at %s", entry.name, entry.value, entry.origin
             )
             try:
-                overrides.merge({entry.name: OverrideChange(active, entry.at_ms)})
+                overrides.merge({entry.name: change})
             except OSError as error:
                 # The override is in force in this process although it is not stored.
                 log.warning("a call for the whole fleet can't be stored: error=%s", error)
-        self._acknowledge(CallKey(entry.kind, entry.name), entry.at_ms)
+        if (entry.name in overrides.active) == change.active:
+            self._acknowledge(CallKey(entry.kind, entry.name), change)
 
-    def _acknowledge(self, key: CallKey, called_at_ms: float) -> None:
+    def _acknowledge(self, key: CallKey, call: OverrideChange) -> None:
         self.acknowledgements.pop(key, None)
         while len(self.acknowledgements) >= MAX_ACKS:
             self._withdraw(next(iter(self.acknowledgements)))
-        self.acknowledgements[key] = Acknowledgement(called_at_ms, time.monotonic())
-        self._publish(ACK_KINDS[key.kind], key.name, repr(called_at_ms))
+        self.acknowledgements[key] = Acknowledgement(call.at_ms, call.active, time.monotonic())
+        self._publish(ACK_KINDS[key.kind], key.name, repr(call.at_ms))
 
     def _withdraw(self, key: CallKey) -> None:
         del self.acknowledgements[key]
--- a/switchline/operators/overrides.py
+++ b/switchline/operators/overrides.py
@@ -21,6 +21,7 @@
 from typing import NamedTuple
 
 from switchline.clock import Timers, now_ms
+from switchline.operators.override_order import OverrideChange, next_change_ms, supersedes
 
 log = logging.getLogger(__name__)
 
@@ -33,6 +34,8 @@
 # any endpoint list.
 MAX_NAMES = 1_024
 MAX_FILE_BYTES = 1024 * 1024  # a larger file was not written by this program
+# A change with a later time than this, by the own clock, gets this time: no other gateway would accept it.
+MAX_AHEAD_MS = 300_000.0
 # How long the time of clearing an override is stored: a backend's slow start needs it, and takes less.
 CLEARED_RETENTION_MS = 120_000.0
 KEY_ACTIVE = "out"
@@ -43,18 +46,6 @@
     """An operator's call can't be stored, though no system call failed."""
 
 
-class OverrideChange(NamedTuple):
-    """The last change of an override by operators.
-
-    Attributes:
-        active: whether the override was set; False if it was cleared.
-        at_ms: time of the change, in Unix milliseconds.
-    """
-
-    active: bool
-    at_ms: float
-
-
 @dataclass(slots=True)
 class OverrideTimes:
     """The contents of the file: when overrides were set or cleared, in Unix milliseconds, by name."""
@@ -78,9 +69,11 @@
             name: at_ms for name, at_ms in self.cleared.items() if current_ms - at_ms < CLEARED_RETENTION_MS
         }
 
-    def last_changed_ms(self, name: str) -> float:
-        """Return when an override was last set or cleared, in Unix ms; minus infinity if that is unknown."""
-        return max(self.active.get(name, -math.inf), self.cleared.get(name, -math.inf))
+    def last_change(self, name: str) -> OverrideChange | None:
+        """Return the last change of an override; None if it is not known."""
+        if name in self.active:
+            return OverrideChange(True, self.active[name])
+        return OverrideChange(False, self.cleared[name]) if name in self.cleared else None
 
 
 class FileIdentity(NamedTuple):
@@ -122,9 +115,14 @@
         """Return when overrides were cleared lately, in Unix milliseconds, by name."""
         return self._times.cleared
 
+    def last_change(self, name: str) -> OverrideChange | None:
+        """Return the last change of an override; None if it is not known."""
+        return self._times.last_change(name)
+
     def last_changed_ms(self, name: str) -> float:
         """Return when an override was last set or cleared, in Unix ms; minus infinity if that is unknown."""
-        return self._times.last_changed_ms(name)
+        change = self._times.last_change(name)
+        return change.at_ms if change is not None else -math.inf
 
     def changes(self) -> Iterator[tuple[str, OverrideChange]]:
         """Yield the last change of each override: first of the active ones, then of those cleared lately."""
@@ -134,8 +132,15 @@
             if now_ms() - at_ms < CLEARED_RETENTION_MS:
                 yield name, OverrideChange(False, at_ms)
 
-    def set(self, name: str, active: bool) -> None:
-        """Set or clear an override; a repeated call changes nothing.
+    def set(self, name: str, active: bool, at_ms: float | None = None, renew: bool = False) -> None:
+        """Set or clear an override; a repeated call changes nothing, unless it is to renew the time.
+
+        Args:
+            name: What the override is for.
+            active: Whether to set it.
+            at_ms: The time of the change, in Unix milliseconds; by default the present one. It is later than
+                that of the last change in any case.
+            renew: Whether an override that is set already gets the time of this call.
 
         Raises:
             OSError: The file can't be written or locked, or too many overrides are active (`OverrideError`).
@@ -143,14 +148,16 @@
         """
         with self._locked():
             self._read()
-            if active == (name in self.active):
+            is_active = name in self.active
+            if active == is_active and not (active and renew):
                 return
-            if active and len(self.active) >= MAX_NAMES:
+            if not is_active and len(self.active) >= MAX_NAMES:
                 raise OverrideError(f"{MAX_NAMES} overrides are active, which is the limit")
             current_ms = now_ms()
             times = self._times.copy()
             times.drop_expired(current_ms)
-            times.apply_change(name, OverrideChange(active, current_ms))
+            changed_ms = next_change_ms(at_ms or current_ms, [self.last_changed_ms(name)])
+            times.apply_change(name, OverrideChange(active, changed_ms))
             newest_cleared = dict(list(times.cleared.items())[-MAX_NAMES:])
             self._write(OverrideTimes(times.active, newest_cleared))
             self._apply(times)
@@ -167,8 +174,9 @@
             self._read()
             times = self._times.copy()
             for name, change in changes.items():
-                if change.at_ms > self.last_changed_ms(name) and len(times.active) < MAX_NAMES:
-                    times.apply_change(name, change._replace(at_ms=min(change.at_ms, current_ms)))
+                if supersedes(change, self.last_change(name)) and len(times.active) < MAX_NAMES:
+                    at_ms = min(change.at_ms, current_ms + MAX_AHEAD_MS)
+                    times.apply_change(name, change._replace(at_ms=at_ms))
             times.drop_expired(current_ms)
             try:
                 self._write(times)
--- a/switchline/service/calls/overrides.py
+++ b/switchline/service/calls/overrides.py
@@ -10,7 +10,9 @@
 from typing import TYPE_CHECKING
 
 from switchline import log_events
+from switchline.clock import now_ms
 from switchline.operators.calls import DeferredReply, Reply
+from switchline.operators.override_order import OverrideChange
 from switchline.operators.overrides import OperatorOverrides
 from switchline.private_files import private_file
 from switchline.service.audit_trail import AuditTrail
@@ -95,10 +97,11 @@
 
     def _on_changed(self, kind: OverrideKind, name: str, is_set: bool, changed_at_ms: float) -> None:
         """Apply a changed override to the policy, and record it in the audit and on disk."""
+        effective_at_ms = min(changed_at_ms, now_ms())  # the clock of another gateway may be ahead
         if kind is OverrideKind.BACKEND:
-            self.parts.driver.override_backend(name, is_set, changed_at_ms)
+            self.parts.driver.override_backend(name, is_set, effective_at_ms)
         elif kind is OverrideKind.ZONE:
-            self.parts.driver.override_zone(name, is_set, changed_at_ms)
+            self.parts.driver.override_zone(name, is_set, effective_at_ms)
         form = OVERRIDE_FORMS[kind]
         version = form.set_version if is_set else form.cleared_version
         self.trail.record(form.audit_kind, name, f"{version} {changed_at_ms:.0f}", "by hand")
@@ -125,11 +128,22 @@
         """Set or clear an override; one for the whole fleet is applied at this gateway first."""
         if whole_fleet and self.fleet.calls is None:
             return Reply(503, "there is no line to other gateways\n")
-        reply = self._call_here(kind, is_set, name)
-        return self._call_fleet(reply, kind, is_set, name) if whole_fleet else reply
+        change = OverrideChange(is_set, self._next_change_ms(kind, name))
+        reply = self._call_here(kind, name, change, whole_fleet)
+        return self._call_fleet(reply, kind, name, change) if whole_fleet else reply
+
+    def _next_change_ms(self, kind: OverrideKind, name: str) -> float:
+        """Return the time of a new change (Unix milliseconds), later than those known of any gateway."""
+        calls = self.fleet.calls
+        overrides = self.overrides.get(kind)
+        if calls is None or overrides is None:
+            return now_ms()
+        from switchline.fleet.fact_kinds import FLEET_WIDE
+
+        return calls.next_change_ms(FLEET_WIDE[kind.value], name)
 
     async def _call_fleet(
-        self, reply: Reply | DeferredReply, kind: OverrideKind, is_set: bool, name: str
+        self, reply: Reply | DeferredReply, kind: OverrideKind, name: str, change: OverrideChange
     ) -> Reply:
         """Publish a call to the other gateways once this gateway's own reply is yes."""
         local_reply = reply if isinstance(reply, Reply) else await reply
@@ -137,9 +151,11 @@
             return local_reply
         from switchline.fleet.fact_kinds import FLEET_WIDE
 
-        return await self.fleet.calls.propagate(FLEET_WIDE[kind.value], name, is_set)
+        return await self.fleet.calls.propagate(FLEET_WIDE[kind.value], name, change.active, change.at_ms)
 
-    def _call_here(self, kind: OverrideKind, is_set: bool, name: str) -> Reply | DeferredReply:
+    def _call_here(
+        self, kind: OverrideKind, name: str, change: OverrideChange, whole_fleet: bool
+    ) -> Reply | DeferredReply:
         """Set or clear an override at this gateway; 404 for a kind or a name that it does not know."""
         overrides = self.overrides.get(kind)
         if overrides is None:
@@ -147,8 +163,8 @@
         if not (self._is_known(kind, name) or name in overrides.active):
             return Reply(404, "no such name\n")
         if self.persistence is not None:
-            return self._commit(self.persistence, kind, overrides, is_set, name)
-        return self._set(overrides, is_set, name)
+            return self._commit(self.persistence, kind, name, change, whole_fleet)
+        return self._set(kind, name, change, whole_fleet)
 
     def _is_known(self, kind: OverrideKind, name: str) -> bool:
         """Whether an override of this kind can apply to the name."""
@@ -164,29 +180,38 @@
 
                 return bool(parse_floors([name]))
 
-    def _set(self, overrides: OperatorOverrides, is_set: bool, name: str) -> Reply:
+    def _set(self, kind: OverrideKind, name: str, change: OverrideChange, whole_fleet: bool) -> Reply:
         try:
-            overrides.set(name, is_set)
+            self.overrides.by_kind[kind.value].set(name, change.active, change.at_ms, renew=whole_fleet)
         except OSError as error:
             log.error(log_events.OVERRIDE_NOT_STORED, error)  # noqa: TRY400
             self.parts.descriptors.handle_shortage(error)
             return Reply(503, "it could not be kept\n")
+        self._withdraw_acknowledgement(kind, name)
         return YES
 
+    def _withdraw_acknowledgement(self, kind: OverrideKind, name: str) -> None:
+        """Tell the other gateways if a call for the whole fleet is not in force here any more."""
+        if self.fleet.calls is not None:
+            from switchline.fleet.fact_kinds import FLEET_WIDE
+
+            self.fleet.calls.on_changed_here(FLEET_WIDE[kind.value], name)
+
     async def _commit(
         self,
         persistence: StatePersistence,
         kind: OverrideKind,
-        overrides: OperatorOverrides,
-        is_set: bool,
         name: str,
+        change: OverrideChange,
+        whole_fleet: bool,
     ) -> Reply:
         """Set or clear an override that is stored on disk; answer yes only once it is on disk."""
-        if not is_set and name not in overrides.active:
+        overrides = self.overrides.by_kind[kind.value]
+        if not change.active and name not in overrides.active:
             return YES  # an operator may repeat a call
-        if not await persistence.commit_override(kind.value, name, is_set):
+        if not await persistence.commit_override(kind.value, name, change.active, change.at_ms):
             return Reply(503, "it could not be kept on disk\n")
-        reply = self._set(overrides, is_set, name)
+        reply = self._set(kind, name, change, whole_fleet)
         if reply is not YES:
             persistence.revert_override(kind.value, name)
         return reply
--- a/switchline/state/persistence.py
+++ b/switchline/state/persistence.py
@@ -16,7 +16,8 @@
 
 from switchline.clock import now_ms
 from switchline.discovery.client import Discovery
-from switchline.operators.overrides import OperatorOverrides, OverrideChange
+from switchline.operators.override_order import OverrideChange
+from switchline.operators.overrides import OperatorOverrides
 from switchline.policy import interface as api
 from switchline.service.driver import Driver
 from switchline.state.endpoint_list import Host, SavedEndpointList
@@ -257,9 +258,15 @@
             return NOT_STORED
         return self.store.put(kind, name, encode_override(OverrideChange(active, at_ms)))
 
-    async def commit_override(self, kind: str, name: str, active: bool) -> bool:
+    async def commit_override(self, kind: str, name: str, active: bool, at_ms: float | None = None) -> bool:
         """Save an override that an operator sets, and wait for its commit.
 
+        Args:
+            kind: Of the override.
+            name: What it is for.
+            active: Whether it is set.
+            at_ms: The time of the change, in Unix milliseconds; by default the present one.
+
         Returns:
             Whether the call may be carried out: it is on disk, or another process has the folder. If false,
             the earlier override is on disk, or will be with the next commit.
@@ -269,7 +276,7 @@
             return self._locked_by_other
         try:
             async with asyncio.timeout(OVERRIDE_COMMIT_TIMEOUT_S):
-                serial = self.save_override(kind, name, active, now_ms())
+                serial = self.save_override(kind, name, active, at_ms or now_ms())
                 return await store.wait_committed(serial)
         except TimeoutError:
             self.revert_override(kind, name)
--- a/switchline/state/restore.py
+++ b/switchline/state/restore.py
@@ -13,7 +13,8 @@
 from switchline.clock import now_ms
 from switchline.discovery.client import Discovery
 from switchline.discovery.endpoint_list import DiscoveryError, read_list
-from switchline.operators.overrides import OperatorOverrides, OverrideChange
+from switchline.operators.override_order import OverrideChange
+from switchline.operators.overrides import OperatorOverrides
 from switchline.policy import interface as api
 from switchline.service.driver import Driver
 from switchline.state.endpoint_list import SavedEndpointList
