A ban holds over a restart although the backend was put back at another gateway

Cause: after a start a gateway takes over other gateways' overrides, as its disk may be lost, and took a newer "up" of another one for bans of its own operators too.

Change: the file of overrides names those that were taken over, and only these follow other gateways.

--- a/switchline/fleet_runtime/recovery/overrides.py
+++ b/switchline/fleet_runtime/recovery/overrides.py
@@ -20,14 +20,14 @@
 class OverrideRecovery:
     """Owns which overrides were adopted from other gateways.
 
-    An adopted override follows the newest fact about it. An override that operators set only here is not
-    changed by other gateways.
+    An adopted override follows the newest fact about it. An override that operators set here holds until they
+    clear it here or for the whole fleet, also over a restart: other gateways' own do not change it.
     """
 
     def __init__(self, overrides: Mapping[str, OperatorOverrides]) -> None:
         """`overrides` maps the kind of a fact to the overrides of this kind."""
         self.overrides = overrides
-        self.adopted: set[tuple[str, str]] = set()  # kind and name of each adopted override
+        self.adopted: set[tuple[str, str]] = set()  # kind and name of each one adopted since the start
         # For each member: until when (monotonic) overrides that it brings from before its start are adopted.
         self._adopt_until_s: dict[str, float] = {}
 
@@ -44,7 +44,7 @@
                 continue
             self.adopted |= {(kind, name) for name in newer}
             try:
-                overrides.merge(newer)
+                overrides.merge(newer, are_adopted=True)
             except OSError as error:
                 log.warning(log_events.PEER_OVERRIDES_NOT_STORED, error)
 
@@ -57,10 +57,9 @@
         for (name, _), stored in facts.of_kind(kind).items():
             is_set = stored.entry.value == "down"
             is_due = at_start or self._is_from_new_member(stored, now_s)
-            is_adopted = is_due and (is_set or name in overrides.active)
-            if (
-                (kind, name) in self.adopted or is_adopted
-            ) and stored.entry.at_ms > overrides.last_changed_ms(name):
+            was_adopted = (kind, name) in self.adopted or name in overrides.adopted
+            is_newer = stored.entry.at_ms > overrides.last_changed_ms(name)
+            if is_newer and (was_adopted or (is_due and is_set)):
                 newer[name] = OverrideChange(is_set, stored.entry.at_ms)
         return newer
 
--- a/switchline/operators/overrides.py
+++ b/switchline/operators/overrides.py
@@ -16,7 +16,7 @@
 import time
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import NamedTuple
 
@@ -40,6 +40,7 @@
 CLEARED_RETENTION_MS = 120_000.0
 KEY_ACTIVE = "out"
 KEY_CLEARED = "back"
+KEY_ADOPTED = "adopted"
 
 
 class OverrideError(OSError):
@@ -48,17 +49,27 @@
 
 @dataclass(slots=True)
 class OverrideTimes:
-    """The contents of the file: when overrides were set or cleared, in Unix milliseconds, by name."""
+    """The contents of the file.
+
+    Attributes:
+        active: When active overrides were set, in Unix milliseconds, by name.
+        cleared: Likewise, when overrides were cleared.
+        adopted: The names of active ones that operators set at another gateway alone, and not here.
+    """
 
     active: dict[str, float]
     cleared: dict[str, float]
+    adopted: set[str] = field(default_factory=set)
 
     def copy(self) -> OverrideTimes:
         """Return an independent copy."""
-        return OverrideTimes(dict(self.active), dict(self.cleared))
+        return OverrideTimes(dict(self.active), dict(self.cleared), set(self.adopted))
 
-    def apply_change(self, name: str, change: OverrideChange) -> None:
+    def apply_change(self, name: str, change: OverrideChange, is_adopted: bool = False) -> None:
         """Apply the change of an override, which becomes the last one in the order of its dictionary."""
+        self.adopted.discard(name)
+        if is_adopted and change.active:
+            self.adopted.add(name)
         self.active.pop(name, None)
         self.cleared.pop(name, None)
         (self.active if change.active else self.cleared)[name] = change.at_ms
@@ -110,6 +121,11 @@
         """Return when each active override was set, in Unix milliseconds, by name."""
         return self._times.active
 
+    @property
+    def adopted(self) -> set[str]:
+        """Return the names of active overrides that operators set at another gateway alone."""
+        return self._times.adopted
+
     @property
     def cleared(self) -> dict[str, float]:
         """Return when overrides were cleared lately, in Unix milliseconds, by name."""
@@ -159,12 +175,16 @@
             changed_ms = next_change_ms(at_ms or current_ms, [self.last_changed_ms(name)])
             times.apply_change(name, OverrideChange(active, changed_ms))
             newest_cleared = dict(list(times.cleared.items())[-MAX_NAMES:])
-            self._write(OverrideTimes(times.active, newest_cleared))
+            self._write(OverrideTimes(times.active, newest_cleared, times.adopted))
             self._apply(times)
 
-    def merge(self, changes: Mapping[str, OverrideChange]) -> None:
+    def merge(self, changes: Mapping[str, OverrideChange], are_adopted: bool = False) -> None:
         """Apply changes from the stored state or from other gateways, unless the one known here is as new.
 
+        Args:
+            changes: By the names of the overrides.
+            are_adopted: Whether operators made them at another gateway, and for that one alone.
+
         Raises:
             OSError: The file can't be locked, and nothing has changed; or it can't be written, and the
                 changes are in force in this process all the same.
@@ -176,7 +196,7 @@
             for name, change in changes.items():
                 if supersedes(change, self.last_change(name)) and len(times.active) < MAX_NAMES:
                     at_ms = min(change.at_ms, current_ms + MAX_AHEAD_MS)
-                    times.apply_change(name, change._replace(at_ms=at_ms))
+                    times.apply_change(name, change._replace(at_ms=at_ms), are_adopted)
             times.drop_expired(current_ms)
             try:
                 self._write(times)
@@ -220,7 +240,7 @@
         temporary = self.path.with_suffix(f".{os.getpid()}.tmp")
         try:
             with temporary.open("w") as file:
-                json.dump({KEY_ACTIVE: times.active, KEY_CLEARED: times.cleared}, file)
+                json.dump(encode_times(times), file)
             temporary.rename(self.path)
             status = self.path.stat()
             self._last_read = FileIdentity(status.st_ino, status.st_mtime_ns)
@@ -249,6 +269,14 @@
             yield
 
 
+def encode_times(times: OverrideTimes) -> dict[str, object]:
+    """Return the contents of a file of overrides, as JSON values."""
+    contents: dict[str, object] = {KEY_ACTIVE: times.active, KEY_CLEARED: times.cleared}
+    if times.adopted:
+        contents[KEY_ADOPTED] = sorted(times.adopted)
+    return contents
+
+
 def decode_times(data: bytes) -> OverrideTimes:
     """Decode the contents of a file of overrides.
 
@@ -257,9 +285,9 @@
             TypeError, KeyError and RecursionError for JSON of another shape.
     """
     contents = json.loads(data)
-    return OverrideTimes(
-        decode_times_by_name(contents[KEY_ACTIVE]), decode_times_by_name(contents[KEY_CLEARED])
-    )
+    active = decode_times_by_name(contents[KEY_ACTIVE])
+    adopted = {str(name) for name in contents.get(KEY_ADOPTED, [])}  # files of earlier releases have none
+    return OverrideTimes(active, decode_times_by_name(contents[KEY_CLEARED]), adopted & active.keys())
 
 
 def decode_times_by_name(value: object) -> dict[str, float]:
--- a/tests/operators/test_fleet_calls.py
+++ b/tests/operators/test_fleet_calls.py
@@ -17,10 +17,12 @@
 from operator_calls import call, stats
 from upgrade_site import UpgradeSite, running_site
 
-from switchline.clock import Timers
+from switchline.clock import Timers, now_ms
+from switchline.fleet.endpoint import ProtocolEndpoint
 from switchline.fleet.fact_kinds import FactKind
 from switchline.fleet.facts import Facts
 from switchline.fleet.messages import Entry, MemberState
+from switchline.fleet_runtime.recovery.overrides import OverrideRecovery
 from switchline.fleet_runtime.transport import GossipTransport, PublishedFact
 from switchline.operators import fleet_calls, overrides
 from switchline.operators.calls import Reply
@@ -160,6 +162,35 @@
                 assert ahead_ms  # clocks that agree leave no gateway out, and the last call is the newest
 
 
+# Guards against: a ban ends with a restart, as the backend was put back at another gateway alone (issue 52).
+@pytest.mark.parametrize("is_adopted", [False, True])
+def test_a_ban_made_here_holds_over_a_restart_and_an_adopted_one_follows_its_gateway(
+    is_adopted: bool, tmp_path: Path
+) -> None:
+    timers = cast(Timers, SimpleNamespace(every=lambda *_: None))
+    kind = FactKind.OVERRIDE_BACKEND
+    facts = Facts("a", (1, 1))
+    members = SimpleNamespace(others={}, present={})
+    node = cast(ProtocolEndpoint, SimpleNamespace(facts=facts, members=members))
+
+    def start() -> tuple[OperatorOverrides, OverrideRecovery]:
+        stored = OperatorOverrides(tmp_path / "bans.json", timers, lambda *_: None)
+        return stored, OverrideRecovery({kind: stored})
+
+    begun_ms = now_ms()
+    bans, recovery = start()
+    if is_adopted:
+        facts.merge(begun_ms, Entry(kind, BACKEND, "b", (1, 1), 1, begun_ms, "down"))
+        recovery.adopt(node, at_start=True)
+    else:
+        bans.set(BACKEND, True)
+    assert BACKEND in bans.active
+    facts.merge(begun_ms, Entry(kind, BACKEND, "b", (1, 1), 2, begun_ms + 1_000, "up"))
+    bans, recovery = start()
+    recovery.adopt(node, at_start=True)
+    assert (BACKEND in bans.active) == (not is_adopted)
+
+
 def test_the_later_change_of_an_override_wins_and_a_new_one_is_later_than_all_that_are_known() -> None:
     down, up = OverrideChange(True, 5.0), OverrideChange(False, 5.0)
     assert supersedes(down, None) and supersedes(OverrideChange(True, 6.0), up)
