--- a/switchline/service/upgrade.py
+++ b/switchline/service/upgrade.py
@@ -27,7 +27,7 @@
 
 SOCKET_FILE = "beside.sock"
 DESCRIPTOR_REPORT_INTERVAL_S = 0.05
-HAND_OVER_TIMEOUT_S = 0.5  # until this process is ready although the old one, which may be halted, is silent
+HAND_OVER_TIMEOUT_S = 0.25  # until this process is ready although the old one, which may be halted, is silent
 
 
 class ProcessUpgrade:
--- a/tests/upgrade/test_upgrade.py
+++ b/tests/upgrade/test_upgrade.py
@@ -100,6 +100,41 @@
     in_loop(scenario)
 
 
+# Guards against: idle connections to backends of the old process take descriptors that the new one lacks.
+def test_the_old_process_closes_connections_to_backends_that_its_clients_do_not_need(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        release_reply = asyncio.Event()
+        held = [b"held%d" % number for number in range(6)]
+
+        async def script(command: list[bytes]) -> Reply:
+            if command[2] in held:
+                await release_reply.wait()
+            return b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+
+        backend = Backend(script)
+        async with running_site(tmp_path, backend) as site:
+            old = await site.start()
+            peers = [await site.client() for _ in held]
+            for peer, id in zip(peers, held, strict=True):
+                peer.send(*request(id, name=b"wipe"))
+            await until(lambda: len(backend.got) == len(held))
+            release_reply.set()
+            assert [await peer.receive() for peer in peers] == [b"value"] * len(held)
+            release_reply.clear()
+            held.append(b"last")
+            peers[0].send(*request(b"last", name=b"wipe"))
+            await until(lambda: backend.got[-1][2] == b"last")
+            assert len(backend.open) >= len(peers)
+            await site.start()
+            async with asyncio.timeout(1):
+                await until(lambda: len(backend.open) <= 1)
+            release_reply.set()
+            assert await peers[0].receive() == b"value"
+            assert await old.wait() == 0
+
+    in_loop(scenario)
+
+
 def test_spent_quotas_and_overrides_are_handed_over(tmp_path: Path) -> None:
     async def scenario() -> None:
         backends = Backend(), Backend()
