The process's memory is measured at least each 0.1 s while requests are admitted

Need: it was measured again only once 0.5 MB more were counted, so memory that nobody counts grew unseen: 20.7 MB noted where the process held 37 (answers kept after streamed values).

Change: a measurement is used for 0.1 s at most.

--- a/switchline/net/memory.py
+++ b/switchline/net/memory.py
@@ -32,8 +32,10 @@
 SHORTAGE_RATIO = 1 / 2
 # Held for peers whatever the process takes, so that memory that the allocator keeps never stops all requests.
 ASSURED_BYTES = MEBIBYTE // 2
-# The process's memory is measured again once so much more is held, or before a request is rejected.
+# The process's memory is measured again once so much more is held, after this time, or before a request is
+# rejected.
 MAX_UNMEASURED_BYTES = MEBIBYTE // 2
+MAX_MEASURE_AGE_S = 0.1
 MIN_MEASURE_INTERVAL_S = 0.005
 # Share of the ledger's limit for long answers that are collected, and the least memory for them.
 COLLECTION_RATIO = 1 / 2
@@ -144,7 +146,8 @@
             return False
         if self._measure is None or self.used_bytes + size_bytes <= ASSURED_BYTES:
             return True
-        if self._unmeasured_bytes > MAX_UNMEASURED_BYTES:
+        age_s = time.monotonic() - self._measured_at_s
+        if self._unmeasured_bytes > MAX_UNMEASURED_BYTES or age_s > MAX_MEASURE_AGE_S:
             self.measure()
         if self.process_admits(size_bytes):
             return True
--- a/tests/net/test_memory.py
+++ b/tests/net/test_memory.py
@@ -7,14 +7,23 @@
 import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
 from switchline.clients.commands import Command, parse_command
 from switchline.clients.slot import Slot
 from switchline.clock import MIN_CANCELLED, Timers, now_ms
-from switchline.net.memory import ANSWER_RESERVE_BYTES, ASSURED_BYTES, MEBIBYTE, MemoryLedger, MemoryUse
+from switchline.net.memory import (
+    ANSWER_RESERVE_BYTES,
+    ASSURED_BYTES,
+    MAX_MEASURE_AGE_S,
+    MEBIBYTE,
+    MemoryLedger,
+    MemoryUse,
+)
 from switchline.net.process_memory import anonymous_bytes
 from switchline.policy import interface as api
 from switchline.private_files import private_file
@@ -57,6 +66,20 @@
     assert ledger.is_short
 
 
+# Guards against: memory that nobody counts grows unseen while counted bytes come and go.
+def test_the_process_is_measured_again_although_no_more_bytes_are_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    process = Process()
+    ledger = measured_ledger(process)
+    ledger.change(MemoryUse.ANSWERS, ASSURED_BYTES)
+    assert ledger.admits_request(ANSWER_RESERVE_BYTES)
+    process.bytes = 33 * MEBIBYTE
+    later_s = time.monotonic() + MAX_MEASURE_AGE_S + 0.01
+    monkeypatch.setattr("switchline.net.memory.time", SimpleNamespace(monotonic=lambda: later_s))
+    assert not ledger.admits_request(ANSWER_RESERVE_BYTES)
+
+
 def test_some_requests_are_admitted_whatever_the_process_takes() -> None:
     process = Process()
     ledger = measured_ledger(process)
