--- a/switchline/operators/fleet_calls.py
+++ b/switchline/operators/fleet_calls.py
@@ -186,11 +186,19 @@
         text = f"{acknowledged} of {total} gateways have it"
         if lacking:
             ellipsis = ", ..." if len(lacking) > MAX_NAMED_GATEWAYS else ""
-            text += f"; not known to have it: {', '.join(lacking[:MAX_NAMED_GATEWAYS])}{ellipsis}"
+            named = ", ".join(self._describe(member) for member in lacking[:MAX_NAMED_GATEWAYS])
+            text += f"; not known to have it: {named}{ellipsis}"
         if 2 * acknowledged <= total:
             return Reply(503, f"it holds here and goes on to spread, but {text}\n")
         return Reply(200, f"yes: {text}\n")
 
+    def _describe(self, member: str) -> str:
+        """Return the name of another member, and how long ago it was heard."""
+        if self.transport is None:
+            return member
+        heard_s = time.monotonic() - self.transport.node.members.others[member].last_heard_s
+        return f"{member} (heard {max(0.0, heard_s):.1f} s ago)"
+
     def _newest_call(self, key: CallKey) -> Entry | None:
         """Return the newest call for a name that any gateway has made, as far as it is known here."""
         if self.transport is None:
--- a/testbed/verdict/judge.py
+++ b/testbed/verdict/judge.py
@@ -245,7 +245,8 @@
         """The gateways with the override after a "yes": in a call for the fleet, all that it doesn't name."""
         if not event.get("fleet"):
             return [event["g"]]
-        missing = event["text"].partition(MISSING_GATEWAYS_PREFIX)[2].strip().split(", ")
+        described = event["text"].partition(MISSING_GATEWAYS_PREFIX)[2].strip().split(", ")
+        missing = {each.partition(" (")[0] for each in described}
         return [event["g"]] if "..." in missing else [name for name in self.gateways if name not in missing]
 
     def on_back(self, event: Event) -> None:
--- a/tests/operators/test_fleet_calls.py
+++ b/tests/operators/test_fleet_calls.py
@@ -8,6 +8,7 @@
 
 import itertools
 import json
+import time
 from collections.abc import Callable
 from pathlib import Path
 from types import SimpleNamespace
@@ -38,6 +39,7 @@
 BACKEND = "h0"
 STEP_MS = 10.0  # from one action to the next
 AHEAD_MS = 2_000.0  # of a clock
+HEARD_S = 7.0  # how long ago a gateway was heard last
 
 
 class Clock:
@@ -58,7 +60,8 @@
         self.name, self.path = name, path
         self.clock, self.ahead_ms = clock, ahead_ms
         self.starts = 0
-        self.others = {other: SimpleNamespace(state=MemberState.ALIVE) for other in {"a", "b"} - {name}}
+        member = SimpleNamespace(state=MemberState.ALIVE, last_heard_s=time.monotonic() - HEARD_S)
+        self.others = {other: member for other in {"a", "b"} - {name}}
         path.unlink(missing_ok=True)
         self.start()
 
@@ -157,7 +160,7 @@
             reply = a.reply(at_ms, active)
             if reply.status == 200:
                 assert a.is_active == active
-                assert b.is_active == active or "not known to have it: b" in reply.text
+                assert b.is_active == active or "not known to have it: b (heard 7." in reply.text
             else:
                 assert ahead_ms  # clocks that agree leave no gateway out, and the last call is the newest
 
