Every backend that is listed now is known to operators' calls, however long the list is

Change: listed names are known, and the bound holds for those that have left the list. Zones likewise.

Measured: the new test is red before; tests of the driver, operators, discovery, zones and upgrade 179 passed.

--- a/switchline/service/driver.py
+++ b/switchline/service/driver.py
@@ -10,7 +10,7 @@
 import math
 import re
 from collections import deque
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass
 from functools import partial
 from typing import Any, Generic, TypeVar
@@ -32,7 +32,7 @@
 
 log = logging.getLogger(__name__)
 
-MAX_KNOWN_NAMES = 1_024  # backends, and likewise zones, that are remembered after they have left the list
+MAX_FORMER_NAMES = 1_024  # backends, and likewise zones, that are remembered after they have left the list
 NOT_IN_METRIC_NAMES = re.compile(r"[^A-Za-z0-9_-]")
 MAX_METRIC_NAME_LENGTH = 64
 
@@ -45,23 +45,39 @@
 
 
 class KnownNames(Generic[Name]):
-    """Remembers the names on endpoint lists; those listed least recently are dropped first.
+    """Remembers the names on the endpoint list, and of those that have left it the last `MAX_FORMER_NAMES`.
 
     Operators may disable a backend or zone although it has left the list; an unknown name is rejected.
     """
 
     def __init__(self) -> None:
-        self._names: dict[Name, None] = {}  # the most recently listed name is last
+        self._listed: set[Name] = set()
+        self._former: dict[Name, None] = {}  # the one that left last is last
 
     def add(self, name: Name) -> None:
-        """Note that a list has this name."""
-        self._names.pop(name, None)
-        self._names[name] = None
-        while len(self._names) > MAX_KNOWN_NAMES:
-            del self._names[next(iter(self._names))]
+        """Note that the list has this name."""
+        self._former.pop(name, None)
+        self._listed.add(name)
+
+    def remove(self, name: Name) -> None:
+        """Note that the list does not have this name any more."""
+        if name not in self._listed:
+            return
+        self._listed.remove(name)
+        self._former[name] = None
+        if len(self._former) > MAX_FORMER_NAMES:
+            del self._former[next(iter(self._former))]
+
+    def replace(self, names: Iterable[Name]) -> None:
+        """Note that the list has these names, and no others."""
+        listed = set(names)
+        for name in self._listed - listed:
+            self.remove(name)
+        for name in listed:
+            self.add(name)
 
     def __contains__(self, name: Name) -> bool:
-        return name in self._names
+        return name in self._listed or name in self._former
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +141,7 @@
         self.recovery_rejections = 0
         self._known_backends = KnownNames[int]()
         self._known_zones = KnownNames[str]()
+        self._zone_by_listed_backend: dict[int, str] = {}
         self._events: deque[api.Event] = deque()
         self._is_dispatching = False
 
@@ -267,16 +284,31 @@
             listed_ids = {member.entry.backend for member in members}
             for backend in set(self.backends.endpoints) - listed_ids:
                 self.backends.retire(backend)
+        self._remember_names(scope, members)
+
+    def _remember_names(self, scope: api.ListScope, members: tuple[ListedBackend, ...]) -> None:
+        """Note the names of the backends and zones that are listed now, and of former ones."""
+        if scope is not api.ListScope.CHANGES:
+            self._zone_by_listed_backend.clear()
         for member in members:
-            self._known_backends.add(member.entry.backend)
-            self._known_zones.add(member.entry.zone)
+            entry = member.entry
+            self._known_backends.add(entry.backend)
+            self._known_zones.add(entry.zone)
+            if entry.state is api.BackendState.GONE:
+                self._zone_by_listed_backend.pop(entry.backend, None)
+                self._known_backends.remove(entry.backend)
+            else:
+                self._zone_by_listed_backend[entry.backend] = entry.zone
+        if scope is not api.ListScope.CHANGES:
+            self._known_backends.replace(self._zone_by_listed_backend)
+        self._known_zones.replace(self._zone_by_listed_backend.values())
 
     def knows_backend(self, host: str) -> bool:
-        """Return whether an endpoint list had a backend of this host name, as far as remembered."""
+        """Return whether the endpoint list has, or had, a backend of this host name, as far as remembered."""
         return host_number(host) in self._known_backends
 
     def knows_zone(self, zone: str) -> bool:
-        """Return whether an endpoint list had this zone, as far as remembered."""
+        """Return whether the endpoint list has, or had, this zone, as far as remembered."""
         return zone in self._known_zones
 
     def override_backend(self, host: str, is_disabled: bool, overridden_at_ms: float) -> None:
--- a/tests/service/test_driver.py
+++ b/tests/service/test_driver.py
@@ -12,9 +12,11 @@
 from switchline.clients.commands import parse_command
 from switchline.clients.slot import Slot
 from switchline.clock import now_ms
+from switchline.discovery.endpoint_list import ListedBackend, host_number
 from switchline.policy import interface as api
 from switchline.requests.lifecycle import FAILED_REPLY
 from switchline.requests.request import RETRY_MARGIN_MS, Request
+from switchline.service.driver import MAX_FORMER_NAMES
 from testbed.network.sockets import LOCAL, until
 from testbed.stand_ins.single_gateway import in_loop, request
 
@@ -197,3 +199,26 @@
         assert slot.reply == b"-BUSY 500\r\n"
 
     in_loop(scenario)
+
+
+def listed(number: int, state: api.BackendState = api.BackendState.READY) -> ListedBackend:
+    entry = api.BackendEntry(host_number(f"h{number}"), f"z{number % 3}", 0, 0.0, state)
+    return ListedBackend(entry, (LOCAL, 1))
+
+
+# Guards against: an operator's call for a listed backend is answered 404, as the list is long.
+def test_names_that_are_listed_now_are_known_and_former_ones_up_to_a_bound() -> None:
+    async def scenario() -> None:
+        driver = DriverScene().driver
+        driver.apply_list(api.ListScope.FULL, tuple(listed(number) for number in range(3_200)))
+        assert all(driver.knows_backend(f"h{number}") for number in range(3_200))
+        driver.apply_list(api.ListScope.CHANGES, (listed(0, api.BackendState.GONE), listed(4_000)))
+        assert (
+            driver.knows_backend("h0") and driver.knows_backend("h4000") and not driver.knows_backend("h5000")
+        )
+        driver.apply_list(api.ListScope.FULL, (listed(4_000),))
+        known = sum(driver.knows_backend(f"h{number}") for number in range(3_200))
+        assert known == MAX_FORMER_NAMES and driver.knows_backend("h4000")
+        assert all(driver.knows_zone(f"z{number}") for number in range(3)) and not driver.knows_zone("z9")
+
+    in_loop(scenario)
