One place for units of memory, and one for listening on a socket of the upgrade

Need: MEBIBYTE was defined three times, and the hand-over and the grants of memory each replaced the socket of another process by the same steps.

--- a/switchline/net/memory.py
+++ b/switchline/net/memory.py
@@ -13,8 +13,8 @@
 from enum import IntEnum
 from typing import Protocol
 
-KIBIBYTE = 1024
-MEBIBYTE = 1024 * KIBIBYTE
+from switchline.units import KIBIBYTE, MEBIBYTE
+
 MAX_READ_BYTES = 64 * KIBIBYTE  # of one read from a socket
 # A value up to this length is buffered completely; a longer one is streamed.
 STREAMING_THRESHOLD_BYTES = 64 * KIBIBYTE
--- a/switchline/requests/memory_wait.py
+++ b/switchline/requests/memory_wait.py
@@ -9,8 +9,9 @@
 from switchline.clients.commands import Command
 from switchline.clients.slot import Slot
 from switchline.clock import PeriodicTimer, Timers, now_ms
-from switchline.net.memory import ANSWER_RESERVE_BYTES, KIBIBYTE, MemoryLedger, MemoryUse
+from switchline.net.memory import ANSWER_RESERVE_BYTES, MemoryLedger, MemoryUse
 from switchline.policy import interface as api
+from switchline.units import KIBIBYTE
 
 MAX_WAIT_MS = 500.0
 MAX_WAIT_RATIO = 1 / 4  # of the time that the client waits
--- a/switchline/service/memory_sharing.py
+++ b/switchline/service/memory_sharing.py
@@ -13,7 +13,8 @@
 from switchline.net.process_memory import anonymous_bytes, give_back_freed_memory
 from switchline.private_files import private_file
 from switchline.service.parts import GatewayParts
-from switchline.upgrade.memory_division import MEBIBYTE, MemoryDivision, ProcessNeed
+from switchline.units import MEBIBYTE
+from switchline.upgrade.memory_division import MemoryDivision, ProcessNeed
 from switchline.upgrade.memory_link import GrantReceiver, GrantServer
 from switchline.upgrade.memory_messages import SOCKET_FILE
 from switchline.upgrade.start_grant import StartGrant
--- a/switchline/upgrade/connection.py
+++ b/switchline/upgrade/connection.py
@@ -1,15 +1,17 @@
-"""One connection between the two processes of an upgrade, and the address of its socket."""
+"""One connection between the two processes of an upgrade, and the listening on its socket."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 import os
+import socket
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import cast
 
+from switchline.net.listen import close_socket
 from switchline.upgrade.messages import MAX_LINE_BYTES, Message, MessageError, decode, encode
 
 log = logging.getLogger(__name__)
@@ -77,6 +79,19 @@
             self.transport.close()
 
 
+async def listen_at(path: Path, make_protocol: Callable[[], asyncio.Protocol]) -> asyncio.Server:
+    """Listen on a Unix socket, in place of another process that has listened there; raises OSError."""
+    server_socket = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    try:
+        with short_socket_path(path) as address:
+            path.unlink(missing_ok=True)
+            server_socket.bind(address)
+        return await asyncio.get_running_loop().create_unix_server(make_protocol, sock=server_socket)
+    except OSError:
+        close_socket(server_socket)
+        raise
+
+
 @contextmanager
 def short_socket_path(path: Path) -> Iterator[str]:
     """Yield a short path for a socket: the system's limit is 107 bytes, and `$TMPDIR` may be longer.
--- a/switchline/upgrade/handover.py
+++ b/switchline/upgrade/handover.py
@@ -10,14 +10,12 @@
 
 import asyncio
 import logging
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from switchline.net.listen import close_socket
-from switchline.upgrade.connection import HandoverConnection, short_socket_path
+from switchline.upgrade.connection import HandoverConnection, listen_at, short_socket_path
 from switchline.upgrade.messages import (
     DescriptorsInUse,
     Message,
@@ -121,18 +119,9 @@
     async def _listen(self) -> None:
         if self.listener is not None:  # the next process has taken the path over
             self.listener.close()
-        server_socket = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        try:
-            with short_socket_path(self.path) as address:
-                self.path.unlink(missing_ok=True)
-                server_socket.bind(address)
-            self.listener = await asyncio.get_running_loop().create_unix_server(
-                lambda: HandoverConnection(self._on_accepted, self._on_message, self._on_lost),
-                sock=server_socket,
-            )
-        except OSError:
-            close_socket(server_socket)
-            raise
+        self.listener = await listen_at(
+            self.path, lambda: HandoverConnection(self._on_accepted, self._on_message, self._on_lost)
+        )
 
     def _on_connected(self, connection: HandoverConnection) -> None:
         self.peer = connection
--- a/switchline/upgrade/memory_division.py
+++ b/switchline/upgrade/memory_division.py
@@ -10,7 +10,8 @@
 
 from dataclasses import dataclass
 
-MEBIBYTE = 1024 * 1024
+from switchline.units import MEBIBYTE
+
 # A process that has not loaded the program yet: the interpreter, and what it needs to ask for memory.
 START_RESERVE_BYTES = 6 * MEBIBYTE
 # The least that a process may hold for its clients, also while memory is divided.
--- a/switchline/upgrade/memory_link.py
+++ b/switchline/upgrade/memory_link.py
@@ -12,7 +12,7 @@
 
 from switchline.net.listen import close_socket
 from switchline.net.process_memory import anonymous_bytes, peer_process
-from switchline.upgrade.connection import short_socket_path
+from switchline.upgrade.connection import listen_at
 from switchline.upgrade.memory_messages import (
     MAX_LINE_BYTES,
     PENDING_LINE,
@@ -154,16 +154,9 @@
     async def listen(self) -> None:
         """Listen in place of another process; after a failure, which is logged, nobody can ask."""
         self.close()
-        listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
-            with short_socket_path(self.path) as address:
-                self.path.unlink(missing_ok=True)
-                listener.bind(address)
-            self._server = await asyncio.get_running_loop().create_unix_server(
-                lambda: MemoryConnection(self._on_line, self._on_lost), sock=listener
-            )
+            self._server = await listen_at(self.path, lambda: MemoryConnection(self._on_line, self._on_lost))
         except OSError as error:
-            close_socket(listener)
             log.warning("can't listen for a next process that needs memory: %s", error)
 
     def _on_line(self, connection: MemoryConnection, line: bytes) -> None:
--- a/switchline/upgrade/start_grant.py
+++ b/switchline/upgrade/start_grant.py
@@ -17,6 +17,7 @@
 
 from switchline.net.process_memory import anonymous_bytes, peer_process
 from switchline.private_files import private_file
+from switchline.units import MEBIBYTE
 from switchline.upgrade.memory_messages import (
     MAX_LINE_BYTES,
     PENDING_LINE,
@@ -27,7 +28,6 @@
 )
 
 NAME_VARIABLE = "LB_NAME"
-MEBIBYTE = 1024 * 1024
 # The platform allows 30 s for a start. A start over the limit would end both processes.
 GRANT_TIMEOUT_S = 20.0
 # Without a word for so long the older process may be halted, and its memory is looked at.
--- a/testbed/upgrade_memory.py
+++ b/testbed/upgrade_memory.py
@@ -26,6 +26,7 @@
 
 import hiredis
 
+from switchline.units import KIBIBYTE
 from testbed.network.addresses import claimed_port
 from testbed.network.sockets import LOCAL, Reply, encode
 from testbed.stand_ins.backends import Backend
@@ -34,7 +35,6 @@
 ROOT = Path(__file__).resolve().parents[1]
 PYTHON = ".venv/bin/python"  # of the command in deploy/balancer.toml
 MODULES = "pycache_prefix=.venv/modules"  # likewise
-KIBIBYTE = 1024
 BACKENDS = 8
 WORK_S = 0.02
 # Segments of an Ethernet frame, and little that the system takes ahead of its client, as over a network.
--- a/tests/net/test_memory.py
+++ b/tests/net/test_memory.py
@@ -20,7 +20,6 @@
     ANSWER_RESERVE_BYTES,
     ASSURED_BYTES,
     MAX_MEASURE_AGE_S,
-    MEBIBYTE,
     MemoryLedger,
     MemoryUse,
 )
@@ -28,6 +27,7 @@
 from switchline.policy import interface as api
 from switchline.private_files import private_file
 from switchline.requests.memory_wait import MAX_IN_ONE_CHECK, MAX_WAIT_MS, MAX_WAITING_PIPELINED, MemoryWait
+from switchline.units import MEBIBYTE
 from switchline.upgrade.memory_messages import PENDING_LINE, REQUEST_LINE, SOCKET_FILE, encode_grant
 from switchline.upgrade.start_grant import wait_for_grant
 from testbed.network.sockets import until
--- a/tests/upgrade/test_memory_division.py
+++ b/tests/upgrade/test_memory_division.py
@@ -6,9 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from switchline.units import MEBIBYTE
 from switchline.upgrade.memory_division import (
     MAX_WAIT_S,
-    MEBIBYTE,
     MIN_CLIENT_BYTES,
     START_RESERVE_BYTES,
     MemoryDivision,
