A ban made here stays this gateway's own if others make it too, or if it was taken over before

Cause: had two gaps. A ban made here was noted as taken over if another gateway had made a newer one, and then ended with that one. One that was taken over and then made here went on to follow, as the recovery kept a list of its own beside the file: two owners of one state.

Change: the file alone says what is taken over; what is in force already is not taken over again; a call here makes an override this gateway's own. One way to read a shared fact, and no time of 0 counts as none.

--- a/switchline/fleet/facts.py
+++ b/switchline/fleet/facts.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, NamedTuple
@@ -246,10 +245,10 @@
         else:
             self.count_by_origin.pop(entry.origin, None)
 
-    def changed_ms(self, kind: str, name: str) -> float:
-        """Return the time of the newest entry of a shared kind, in Unix ms; minus infinity without one."""
+    def shared_entry(self, kind: str, name: str) -> Entry | None:
+        """Return the entry of a shared kind, whichever gateway published it; None without one."""
         stored = self.table.get(FactKey(kind, name, ""))
-        return stored.entry.at_ms if stored is not None else -math.inf
+        return stored.entry if stored is not None else None
 
     # Expiry.
 
--- a/switchline/fleet_runtime/recovery/overrides.py
+++ b/switchline/fleet_runtime/recovery/overrides.py
@@ -18,16 +18,17 @@
 
 
 class OverrideRecovery:
-    """Owns which overrides were adopted from other gateways.
+    """Adopts overrides from other gateways; which ones are adopted is a part of the overrides themselves.
 
-    An adopted override follows the newest fact about it. An override that operators set here holds until they
-    clear it here or for the whole fleet, also over a restart: other gateways' own do not change it.
+    An adopted override that is set follows the newest fact about it. An override that operators set here
+    holds until they clear it here or for the whole fleet, also over a restart: other gateways' own do not
+    change it.
     """
 
     def __init__(self, overrides: Mapping[str, OperatorOverrides]) -> None:
         """`overrides` maps the kind of a fact to the overrides of this kind."""
         self.overrides = overrides
-        self.adopted: set[tuple[str, str]] = set()  # kind and name of each one adopted since the start
+        self.adopted: set[tuple[str, str]] = set()  # kind and name of each one since the start, for the count
         # For each member: until when (monotonic) overrides that it brings from before its start are adopted.
         self._adopt_until_s: dict[str, float] = {}
 
@@ -57,9 +58,9 @@
         for (name, _), stored in facts.of_kind(kind).items():
             is_set = stored.entry.value == "down"
             is_due = at_start or self._is_from_new_member(stored, now_s)
-            was_adopted = (kind, name) in self.adopted or name in overrides.adopted
+            is_adopted_now = is_due and is_set and name not in overrides.active
             is_newer = stored.entry.at_ms > overrides.last_changed_ms(name)
-            if is_newer and (was_adopted or (is_due and is_set)):
+            if is_newer and (name in overrides.adopted or is_adopted_now):
                 newer[name] = OverrideChange(is_set, stored.entry.at_ms)
         return newer
 
--- a/switchline/operators/fleet_calls.py
+++ b/switchline/operators/fleet_calls.py
@@ -20,7 +20,7 @@
 
 from switchline.clock import now_ms
 from switchline.fleet.fact_kinds import FLEET_WIDE, FactKind
-from switchline.fleet.facts import FactKey, FactLimitError
+from switchline.fleet.facts import FactLimitError
 from switchline.fleet.messages import Entry, MemberState
 from switchline.fleet_runtime.transport import GossipTransport, PublishedFact
 from switchline.operators.calls import Reply
@@ -143,7 +143,8 @@
         known_ms = [self.overrides[kind].last_changed_ms(name)]
         if self.transport is not None:
             facts = self.transport.node.facts
-            known_ms += [facts.changed_ms(each, name) for each in (kind, LOCAL_KINDS[kind])]
+            entries = [facts.shared_entry(each, name) for each in (kind, LOCAL_KINDS[kind])]
+            known_ms += [entry.at_ms for entry in entries if entry is not None]
         return next_change_ms(now_ms(), known_ms)
 
     async def propagate(self, kind: str, name: str, active: bool, called_at_ms: float) -> Reply:
@@ -203,8 +204,7 @@
         """Return the newest call for a name that any gateway has made, as far as it is known here."""
         if self.transport is None:
             return None
-        stored = self.transport.node.facts.table.get(FactKey(key.kind, key.name, ""))
-        return stored.entry if stored is not None else None
+        return self.transport.node.facts.shared_entry(key.kind, key.name)
 
     def _apply_call(self, entry: Entry) -> None:
         """Apply a call of another gateway unless a newer change is in force; acknowledge it if it is."""
--- a/switchline/operators/overrides.py
+++ b/switchline/operators/overrides.py
@@ -151,6 +151,8 @@
     def set(self, name: str, active: bool, at_ms: float | None = None, renew: bool = False) -> None:
         """Set or clear an override; a repeated call changes nothing, unless it is to renew the time.
 
+        One that was adopted from another gateway is this gateway's own after a call here.
+
         Args:
             name: What the override is for.
             active: Whether to set it.
@@ -165,14 +167,16 @@
         with self._locked():
             self._read()
             is_active = name in self.active
-            if active == is_active and not (active and renew):
+            is_renewed = active and (renew or name in self.adopted)
+            if active == is_active and not is_renewed:
                 return
             if not is_active and len(self.active) >= MAX_NAMES:
                 raise OverrideError(f"{MAX_NAMES} overrides are active, which is the limit")
             current_ms = now_ms()
             times = self._times.copy()
             times.drop_expired(current_ms)
-            changed_ms = next_change_ms(at_ms or current_ms, [self.last_changed_ms(name)])
+            wanted_ms = current_ms if at_ms is None else at_ms
+            changed_ms = next_change_ms(wanted_ms, [self.last_changed_ms(name)])
             times.apply_change(name, OverrideChange(active, changed_ms))
             newest_cleared = dict(list(times.cleared.items())[-MAX_NAMES:])
             self._write(OverrideTimes(times.active, newest_cleared, times.adopted))
--- a/switchline/state/persistence.py
+++ b/switchline/state/persistence.py
@@ -276,7 +276,8 @@
             return self._locked_by_other
         try:
             async with asyncio.timeout(OVERRIDE_COMMIT_TIMEOUT_S):
-                serial = self.save_override(kind, name, active, at_ms or now_ms())
+                changed_ms = now_ms() if at_ms is None else at_ms
+                serial = self.save_override(kind, name, active, changed_ms)
                 return await store.wait_committed(serial)
         except TimeoutError:
             self.revert_override(kind, name)
--- a/tests/operators/test_fleet_calls.py
+++ b/tests/operators/test_fleet_calls.py
@@ -168,9 +168,18 @@
 
 
 # Guards against: a ban ends with a restart, as the backend was put back at another gateway alone (issue 52).
-@pytest.mark.parametrize("is_adopted", [False, True])
+@pytest.mark.parametrize(
+    ("story", "holds"),
+    [
+        ("made here", True),
+        ("adopted", False),
+        ("made here, then elsewhere too", True),
+        ("adopted, then made here", True),
+        ("adopted, put back and made here", True),
+    ],
+)
 def test_a_ban_made_here_holds_over_a_restart_and_an_adopted_one_follows_its_gateway(
-    is_adopted: bool, tmp_path: Path
+    story: str, holds: bool, tmp_path: Path
 ) -> None:
     timers = cast(Timers, SimpleNamespace(every=lambda *_: None))
     kind = FactKind.OVERRIDE_BACKEND
@@ -182,18 +191,29 @@
         stored = OperatorOverrides(tmp_path / "bans.json", timers, lambda *_: None)
         return stored, OverrideRecovery({kind: stored})
 
+    def learn(version: int, value: str) -> None:
+        """Another gateway's operators make a change there, which is newer than all before it."""
+        facts.merge(begun_ms, Entry(kind, BACKEND, "b", (1, 1), version, begun_ms + version * 1_000, value))
+
     begun_ms = now_ms()
     bans, recovery = start()
-    if is_adopted:
-        facts.merge(begun_ms, Entry(kind, BACKEND, "b", (1, 1), 1, begun_ms, "down"))
+    if story.startswith("adopted"):
+        learn(1, "down")
         recovery.adopt(node, at_start=True)
-    else:
+    if "put back" in story:
+        bans.set(BACKEND, False)
+    if "made here" in story:
         bans.set(BACKEND, True)
+    if "elsewhere" in story:
+        learn(1, "down")
+        recovery.adopt(node, at_start=True)
     assert BACKEND in bans.active
-    facts.merge(begun_ms, Entry(kind, BACKEND, "b", (1, 1), 2, begun_ms + 1_000, "up"))
+    learn(10, "up")
+    recovery.adopt(node)
+    assert (BACKEND in bans.active) == holds
     bans, recovery = start()
     recovery.adopt(node, at_start=True)
-    assert (BACKEND in bans.active) == (not is_adopted)
+    assert (BACKEND in bans.active) == holds
 
 
 def test_the_later_change_of_an_override_wins_and_a_new_one_is_later_than_all_that_are_known() -> None:
